--- /dev/null
+++ b/crates/ladderpass-benchlink/src/wire.rs
@@ -0,0 +1,602 @@
+//! From events to calls on a router, and from its results to actions.
+
+use crate::lines::{Info, Line, ListLine};
+use ladderpass_core::{
+    Arrival, Checks, Decision, Deployment, Effect, Ended, Entry, Level, ListNews, MemberId, Method, Outcome,
+    Report, Role, RoleInList, Router, Rpc, Span, Standing, Time,
+};
+use serde_json::Value;
+use std::collections::HashMap;
+use std::fmt::Write;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+
+type Fault = String;
+
+/// All instances in this process; they share the numbered lists of the wire and nothing else.
+#[derive(Default)]
+pub struct Tier {
+    now: Option<Time>,
+    lists: HashMap<u32, Vec<ListLine<'static>>>,
+    instances: HashMap<String, Instance>,
+    /// Instances with an event in this batch, in the order of their first one.
+    awake: Vec<String>,
+    broken: Vec<(String, String)>,
+}
+
+/// One instance: its router, and the small indices that stand for the wire's ids.
+struct Instance {
+    router: Router,
+    in_batch: bool,
+    actions: String,
+    methods: HashMap<String, u32>,
+    tenants: HashMap<String, u32>,
+    zero: Time,
+    told: bool,
+    column_position: Option<usize>,
+    column_primary: Option<usize>,
+    nodes: Interned,
+    groups: HashMap<u64, u32>,
+    zones: HashMap<String, u32>,
+    sessions: HashMap<String, u32>,
+    /// Not yet concluded, or with a call-out still out.
+    rpcs: HashMap<String, Held>,
+    names: HashMap<Rpc, String>,
+    timer: Option<Time>,
+}
+
+struct Held {
+    rpc: Rpc,
+    ended: bool,
+    out: u32,
+}
+
+#[derive(Default)]
+struct Interned {
+    index: HashMap<String, u32>,
+    names: Vec<String>,
+}
+
+impl Interned {
+    fn intern(&mut self, name: &str) -> MemberId {
+        if let Some(&index) = self.index.get(name) {
+            return MemberId(index);
+        }
+        let index = self.names.len() as u32;
+        self.names.push(name.to_owned());
+        self.index.insert(name.to_owned(), index);
+        MemberId(index)
+    }
+
+    fn known(&self, name: &str) -> Result<MemberId, Fault> {
+        self.index.get(name).map(|&i| MemberId(i)).ok_or_else(|| format!("unknown node {name:?}"))
+    }
+
+    fn name(&self, member: MemberId) -> &str {
+        &self.names[member.0 as usize]
+    }
+}
+
+fn need<T>(value: Option<T>, field: &str) -> Result<T, Fault> {
+    value.ok_or_else(|| format!("{field} is missing"))
+}
+
+fn quoted(text: &str) -> String {
+    Value::from(text).to_string()
+}
+
+impl Tier {
+    /// Takes one line; true once it ended a batch and `reply` holds the answer.
+    pub fn line(&mut self, text: &str, reply: &mut String) -> Result<bool, Fault> {
+        let line: Line = serde_json::from_str(text).map_err(|fault| {
+            let kind = serde_json::from_str::<Value>(text).ok();
+            let kind = kind.as_ref().and_then(|v| v.get("kind")).and_then(Value::as_str);
+            format!("{}: malformed line: {fault}", kind.unwrap_or("line without a kind"))
+        })?;
+        let kind = line.kind.clone().into_owned();
+        match kind.as_str() {
+            "TICK" => {
+                self.now = Some(Time::from_nanos(need(line.at, "AtTime").map_err(|f| format!("TICK: {f}"))?));
+                Ok(false)
+            }
+            "END" => {
+                self.finish(reply);
+                Ok(true)
+            }
+            _ => self.event(&kind, line).map(|()| false).map_err(|fault| format!("{kind}: {fault}")),
+        }
+    }
+
+    fn event(&mut self, kind: &str, line: Line) -> Result<(), Fault> {
+        let now = need(self.now, "the TICK before it")?;
+        if kind == "ROSTER" {
+            let entries = need(line.entries, "Entries")?;
+            self.lists.insert(need(line.buffer, "Buffer")?, entries.iter().map(own).collect());
+            return Ok(());
+        }
+        let known = [
+            "CREATE",
+            "FLEET",
+            "ASK",
+            "VERDICT",
+            "PROBE_DONE",
+            "HEAD_RECEIVED",
+            "TICK_DUE",
+            "WHISPER",
+            "LAPSED",
+            "DETACH",
+        ];
+        if !known.contains(&kind) {
+            return Err("unknown kind; passed over".into());
+        }
+        let who = need(line.who.as_deref(), "Who")?.to_owned();
+        if kind == "CREATE" {
+            let salt = need(line.salt, "Salt")?;
+            let salt = salt
+                .as_u64()
+                .or_else(|| salt.as_i64().map(|s| s as u64))
+                .ok_or("Salt is not a whole number")?;
+            let instance = Instance::new(salt, &need(line.info, "Info")?, now)?;
+            self.instances.insert(who.clone(), instance);
+            return self.mark_awake(&who);
+        }
+        let instance =
+            self.instances.get_mut(&who).ok_or_else(|| format!("{who} has no CREATE before this"))?;
+        if kind == "DETACH" {
+            self.instances.remove(&who);
+            self.awake.retain(|name| *name != who);
+            return Ok(());
+        }
+        let lists = &self.lists;
+        let result = catch_unwind(AssertUnwindSafe(|| instance.event(now, kind, line, lists)));
+        match result {
+            Ok(done) => {
+                let woken = self.mark_awake(&who);
+                done.and(woken)
+            }
+            Err(panic) => {
+                self.fail(&who, panic);
+                Ok(())
+            }
+        }
+    }
+
+    fn mark_awake(&mut self, who: &str) -> Result<(), Fault> {
+        if let Some(instance) = self.instances.get_mut(who)
+            && !instance.in_batch
+        {
+            instance.in_batch = true;
+            self.awake.push(who.to_owned());
+        }
+        Ok(())
+    }
+
+    fn fail(&mut self, who: &str, panic: Box<dyn std::any::Any + Send>) {
+        let text = panic
+            .downcast_ref::<&str>()
+            .map(|text| (*text).to_owned())
+            .or_else(|| panic.downcast_ref::<String>().cloned())
+            .unwrap_or_else(|| "the decision module failed".to_owned());
+        eprintln!("ladderpass: {who}: {text}");
+        self.broken.push((who.to_owned(), text));
+        self.instances.remove(who);
+        self.awake.retain(|name| name != who);
+    }
+
+    fn finish(&mut self, reply: &mut String) {
+        for who in std::mem::take(&mut self.awake) {
+            let Some(now) = self.now else { continue };
+            let Some(instance) = self.instances.get_mut(&who) else { continue };
+            instance.in_batch = false;
+            match catch_unwind(AssertUnwindSafe(|| instance.tend(&who, now))) {
+                Ok(()) => reply.push_str(&instance.take_actions(&who)),
+                Err(panic) => self.fail(&who, panic),
+            }
+        }
+        for (who, text) in self.broken.drain(..) {
+            let _ =
+                writeln!(reply, r#"{{"kind":"BROKEN","Who":{},"NoteText":{}}}"#, quoted(&who), quoted(&text));
+        }
+        reply.push_str("{\"kind\":\"END\"}\n");
+    }
+}
+
+fn own(line: &ListLine) -> ListLine<'static> {
+    ListLine {
+        node: line.node.clone().into_owned().into(),
+        zone: line.zone.clone().into_owned().into(),
+        primary: line.primary,
+        group: line.group,
+        standing: line.standing.clone().into_owned().into(),
+        born: line.born,
+    }
+}
+
+/// The group of a wire number: numbers need not be whole.
+fn group_index(groups: &mut HashMap<u64, u32>, number: f64) -> u32 {
+    let next = groups.len() as u32;
+    *groups.entry(number.to_bits()).or_insert(next)
+}
+
+fn name_index(names: &mut HashMap<String, u32>, name: &str) -> u32 {
+    if let Some(&index) = names.get(name) {
+        return index;
+    }
+    let next = names.len() as u32;
+    names.insert(name.to_owned(), next);
+    next
+}
+
+impl Instance {
+    fn new(salt: u64, info: &Info, now: Time) -> Result<Instance, Fault> {
+        let zones: HashMap<String, u32> =
+            info.zones.iter().enumerate().map(|(i, z)| (z.clone(), i as u32)).collect();
+        let columns = info.report.columns.as_deref().unwrap_or(&[]);
+        let column = |name: &str| columns.iter().position(|c| c == name);
+        let mut zones = zones;
+        let zone = name_index(&mut zones, &info.az);
+        let parties = info.parties.as_deref().unwrap_or(&[]);
+        let names = |list: Vec<&String>| list.into_iter().cloned().zip(0..).collect();
+        Ok(Instance {
+            router: Router::start(now, salt, deployment(info, zone)?),
+            in_batch: false,
+            actions: String::new(),
+            methods: names(info.services.iter().map(|s| &s.name).collect()),
+            tenants: names(parties.iter().map(|p| &p.name).collect()),
+            zero: Time::from_nanos(info.extra.zero.unwrap_or(0)),
+            told: info.extra.progress_told.unwrap_or(true),
+            column_position: column("x0"),
+            column_primary: column("x1"),
+            nodes: Interned::default(),
+            groups: HashMap::new(),
+            zones,
+            sessions: HashMap::new(),
+            rpcs: HashMap::new(),
+            names: HashMap::new(),
+            timer: None,
+        })
+    }
+
+    fn event(
+        &mut self,
+        now: Time,
+        kind: &str,
+        line: Line,
+        lists: &HashMap<u32, Vec<ListLine<'static>>>,
+    ) -> Result<(), Fault> {
+        match kind {
+            "ASK" => self.ask(now, line),
+            "VERDICT" => self.verdict(now, line),
+            "PROBE_DONE" => self.probed(now, line),
+            "FLEET" => self.fleet(now, line, lists),
+            "LAPSED" => {
+                let id = need(line.id, "RequestId")?;
+                if let Some(held) = self.rpcs.get_mut(&*id)
+                    && !held.ended
+                {
+                    held.ended = true;
+                    held.rpc.left(&mut self.router, now);
+                    self.drop_if_over(&id);
+                }
+                Ok(())
+            }
+            "TICK_DUE" => {
+                need(line.handle, "Handle")?;
+                self.timer = self.timer.filter(|&at| at > now);
+                Ok(())
+            }
+            _ => Ok(()), // HEAD_RECEIVED and WHISPER: no method here streams, and routers share nothing
+        }
+    }
+
+    fn ask(&mut self, now: Time, line: Line) -> Result<(), Fault> {
+        let id = need(line.id, "RequestId")?;
+        let method = need(line.method, "Service")?;
+        let method =
+            *self.methods.get(&*method).ok_or_else(|| format!("unknown class {method:?} in Service"))?;
+        let due = Time::from_nanos(need(line.due, "Due")?);
+        let group = need(line.group, "Cluster")?;
+        if self.rpcs.contains_key(&*id) {
+            return Err(format!("RequestId {id:?} was given before"));
+        }
+        let tenant = line.tenant.as_ref().and_then(Value::as_str);
+        let arrival = Arrival {
+            method,
+            group: group_index(&mut self.groups, group),
+            due,
+            resent: line.resent.unwrap_or(false),
+            tenant: tenant.and_then(|name| self.tenants.get(name).copied()),
+            session: line.session.as_ref().map(|key| name_index(&mut self.sessions, key)),
+            last_write: line
+                .last_write_ms
+                .filter(|&ms| ms > 0.0)
+                .map(|ms| Span::from_nanos((ms * 1e6).ceil() as i64)),
+        };
+        let (rpc, decision) = self.router.take(now, arrival);
+        self.rpcs.insert(id.to_string(), Held { rpc, ended: false, out: 0 });
+        self.names.insert(rpc, id.into_owned());
+        self.encode(rpc, decision);
+        Ok(())
+    }
+
+    fn verdict(&mut self, now: Time, line: Line) -> Result<(), Fault> {
+        let id = need(line.id, "RequestId")?;
+        let member = self.nodes.known(&need(line.node, "Node")?)?;
+        let code = need(line.code, "StateCode")?;
+        need(line.callout, "Attempt")?;
+        let took = Span::from_nanos(need(line.took, "Elapsed")?);
+        let held = self.rpcs.get_mut(&*id).ok_or_else(|| format!("unknown RequestId {id:?}"))?;
+        let ended = ended(&code)?;
+        if held.out == 0 {
+            return Err(format!("RequestId {id:?} has no attempt out"));
+        }
+        held.out -= 1;
+        let complete = line.complete.unwrap_or(false);
+        held.ended |= complete;
+        let rpc = held.rpc;
+        let note = line.note.filter(|&note| note >= 0);
+        let position = note.map(|n| n / 4).filter(|&ms| ms > 0 || (self.told && note.is_some()));
+        let outcome = Outcome {
+            member,
+            ended,
+            took,
+            complete,
+            role: note.and_then(|n| match n % 4 {
+                1 => Some(Role::Primary),
+                2 => Some(Role::Replica),
+                _ => None,
+            }),
+            position: position.map(|ms| self.zero + Span::from_millis(ms)),
+        };
+        let decision = rpc.ended(&mut self.router, now, outcome);
+        self.encode(rpc, decision);
+        self.drop_if_over(&id);
+        Ok(())
+    }
+
+    fn drop_if_over(&mut self, id: &str) {
+        if let Some(held) = self.rpcs.get(id)
+            && held.ended
+            && held.out == 0
+        {
+            self.names.remove(&held.rpc);
+            self.rpcs.remove(id);
+        }
+    }
+
+    fn probed(&mut self, now: Time, line: Line) -> Result<(), Fault> {
+        let member = self.nodes.known(&need(line.node, "Node")?)?;
+        let ended = ended(&need(line.code, "StateCode")?)?;
+        let took = Span::from_nanos(need(line.took, "Elapsed")?);
+        let row = line.report.as_deref().unwrap_or(&[]);
+        let cell = |column: Option<usize>| column.and_then(|c| row.get(c).copied().flatten());
+        let report = Report {
+            position: cell(self.column_position).map(|secs| self.zero + Span::from_secs_f64(secs)),
+            primary: cell(self.column_primary).map(|flag| flag >= 0.5),
+        };
+        self.router.probed(now, member, ended, took, report);
+        Ok(())
+    }
+
+    fn fleet(
+        &mut self,
+        now: Time,
+        line: Line,
+        lists: &HashMap<u32, Vec<ListLine<'static>>>,
+    ) -> Result<(), Fault> {
+        let how = need(line.how, "How")?;
+        if how == "broken" {
+            self.router.list_news(now, ListNews::Failed);
+            return Ok(());
+        }
+        let number = need(line.buffer, "Buffer")?;
+        let list = lists.get(&number).ok_or_else(|| format!("no ROSTER {number} before this"))?;
+        let mut entries = Vec::with_capacity(list.len());
+        for entry in list {
+            entries.push(Entry {
+                member: self.nodes.intern(&entry.node),
+                group: group_index(&mut self.groups, entry.group),
+                zone: name_index(&mut self.zones, &entry.zone),
+                primary: entry.primary.unwrap_or(0.0) >= 0.5,
+                standing: match &*entry.standing {
+                    "on" => Standing::On,
+                    "fading" => Standing::Fading,
+                    "off" => Standing::Off,
+                    other => return Err(format!("unknown StageState {other:?}")),
+                },
+                born: entry.born.filter(|&at| at != 0).map(Time::from_nanos),
+            });
+        }
+        let news = match &*how {
+            "patch" => ListNews::Changes(&entries),
+            "whole" => ListNews::Whole(&entries),
+            "stale_copy" => ListNews::Remembered(&entries),
+            other => return Err(format!("unknown How {other:?}")),
+        };
+        self.router.list_news(now, news);
+        Ok(())
+    }
+
+    fn tend(&mut self, who: &str, now: Time) {
+        let upkeep = self.router.tend(now);
+        for (rpc, decision) in upkeep.decisions {
+            self.encode(rpc, decision);
+        }
+        let who = quoted(who);
+        let out = &mut self.actions;
+        for member in upkeep.probes {
+            let node = quoted(self.nodes.name(member));
+            let _ = writeln!(out, r#"{{"kind":"TOUCH","Who":{who},"Node":{node}}}"#);
+        }
+        if upkeep.ask_list {
+            let _ = writeln!(out, r#"{{"kind":"OBSERVE","Who":{who},"Enable":true}}"#);
+        }
+        for note in upkeep.notes {
+            let note = named(&note, &self.nodes);
+            let _ = writeln!(out, r#"{{"kind":"WRITE_LOG","Who":{who},"NoteText":{}}}"#, quoted(&note));
+        }
+        if let Some(at) = upkeep.wake
+            && self.timer.is_none_or(|set| at < set)
+        {
+            let delay = (at - now).nanos().max(1);
+            let _ = writeln!(out, r#"{{"kind":"NOTIFY_ME","Who":{who},"Delay":{delay},"Handle":0}}"#);
+            self.timer = Some(now + Span::from_nanos(delay));
+        }
+    }
+
+    /// Writes a decision as an action; the instance's name is filled in when the batch ends.
+    fn encode(&mut self, rpc: Rpc, decision: Decision) {
+        let Some(id) = self.names.get(&rpc) else { return };
+        let id_text = quoted(id);
+        let held = self.rpcs.get_mut(id);
+        let out = &mut self.actions;
+        let final_answer = match decision {
+            Decision::CallOut { member, limit } => {
+                let node = quoted(self.nodes.name(member));
+                let limit = limit.map_or(0, |span| span.nanos().max(1));
+                let _ = writeln!(
+                    out,
+                    r#"{{"kind":"SUBMIT_TO","Who":@,"RequestId":{id_text},"Node":{node},"TryFor":{limit}}}"#
+                );
+                if let Some(held) = held {
+                    held.out += 1;
+                }
+                return;
+            }
+            Decision::Hold | Decision::Done => return,
+            Decision::PushBack { come_back } => {
+                let after = come_back.nanos();
+                let _ =
+                    writeln!(out, r#"{{"kind":"NOT_NOW","Who":@,"RequestId":{id_text},"ComeBack":{after}}}"#);
+                true
+            }
+            Decision::Abort => {
+                let _ = writeln!(out, r#"{{"kind":"FINISH_ERROR","Who":@,"RequestId":{id_text}}}"#);
+                true
+            }
+        };
+        if let Some(held) = held {
+            held.ended = final_answer;
+            if held.out == 0 {
+                let id = self.names.remove(&rpc).expect("named above");
+                self.rpcs.remove(&id);
+            }
+        }
+    }
+
+    fn take_actions(&mut self, who: &str) -> String {
+        let filled = self.actions.replace(r#""Who":@"#, &format!(r#""Who":{}"#, quoted(who)));
+        self.actions.clear();
+        filled
+    }
+}
+
+/// Puts the wire's names in the place of `#N` in a note.
+fn named(note: &str, nodes: &Interned) -> String {
+    let mut parts = note.split('#');
+    let mut text = parts.next().unwrap_or_default().to_owned();
+    for part in parts {
+        let digits = part.bytes().take_while(u8::is_ascii_digit).count();
+        match part[..digits].parse::<usize>().ok().and_then(|index| nodes.names.get(index)) {
+            Some(name) => text.push_str(name),
+            None => text.push_str(&part[..digits]),
+        }
+        text.push_str(&part[digits..]);
+    }
+    text
+}
+
+fn ended(code: &str) -> Result<Ended, Fault> {
+    Ok(match code {
+        "success" => Ended::Ok,
+        "failure" => Ended::Failed,
+        "overloaded" => Ended::Overloaded,
+        "timed_out" => Ended::TimedOut,
+        "unreachable" => Ended::Unreachable,
+        "broken" => Ended::Broken,
+        "withdrawn" => Ended::Withdrawn,
+        "void" => Ended::Void,
+        "absent" => Ended::Absent,
+        other => return Err(format!("unknown StateCode {other:?}")),
+    })
+}
+
+fn span(nanos: Option<i64>) -> Span {
+    Span::from_nanos(nanos.unwrap_or(0))
+}
+
+fn deployment(info: &Info, zone: u32) -> Result<Deployment, Fault> {
+    let extra = &info.extra;
+    let mut methods = Vec::new();
+    for (i, service) in info.services.iter().enumerate() {
+        let level = need(extra.read_level.get(i), "Extra.ReadLevel of a class")?;
+        let max_age = || extra.max_age.as_ref().and_then(|ages| ages.get(i).copied().flatten());
+        methods.push(Method {
+            level: match level.as_str() {
+                "any" => Level::Any,
+                "bounded" => Level::Bounded(span(Some(need(max_age(), "Extra.MaxAge of a class")?))),
+                "session" => Level::Session,
+                "fresh" => Level::Fresh,
+                "write" => Level::Write,
+                other => return Err(format!("unknown Extra.ReadLevel {other:?}")),
+            },
+            effect: match service.effect.as_str() {
+                "pure" => Effect::Idempotent,
+                "token" => Effect::Tokened {
+                    anywhere: service.dedup_scope.as_deref() == Some("all"),
+                    window: span(service.key_ttl),
+                },
+                "side_effect" => Effect::NonIdempotent,
+                other => return Err(format!("unknown Effect {other:?}")),
+            },
+            soft_deadline: span(Some(service.slo)),
+            deadline: span(Some(service.give_up)),
+            utility: service.worth.unwrap_or(1.0),
+            late: service.late_worth.unwrap_or(0.0),
+        });
+    }
+    let fee = |name: &str| info.fees.get(name).and_then(Value::as_f64).unwrap_or(0.0);
+    let parties = info.parties.as_deref().unwrap_or(&[]);
+    let contract = &info.contract;
+    Ok(Deployment {
+        methods,
+        allowances: parties.iter().map(|p| p.allowance_per_s.unwrap_or(f64::INFINITY)).collect(),
+        over_share: info.over_share_worth.unwrap_or(1.0),
+        checks: match extra.checks.as_deref() {
+            None | Some("off") => Checks::Off,
+            Some("refuse") => Checks::Refuse,
+            Some("wait") => Checks::Wait(span(extra.wait)),
+            Some(other) => return Err(format!("unknown Extra.Checks {other:?}")),
+        },
+        role_in_list: match extra.role_in_list.as_deref() {
+            None | Some("off") => RoleInList::Off,
+            Some("late") => RoleInList::Late,
+            Some("start") => RoleInList::Start,
+            Some(other) => return Err(format!("unknown Extra.RoleInList {other:?}")),
+        },
+        carried: extra.tokens.as_deref() != Some("remembered"),
+        must_ask: match info.registry_mode.as_deref() {
+            Some("subscribe") => Some(span(contract.must_ask_in)),
+            _ => None,
+        },
+        probes: info.allowed.probes.unwrap_or(false),
+        withdrawals: info.allowed.cancel.unwrap_or(false),
+        second_copies: info.allowed.second_copies.unwrap_or(false),
+        callouts_cap: info.allowed.attempts_cap.unwrap_or(1),
+        longest_come_back: match info.allowed.retry_after {
+            Some(true) => span(info.allowed.max_retry_after),
+            _ => Span::ZERO,
+        },
+        connect_limit: span(info.allowed.connect_timeout),
+        tick: span(info.tick),
+        cold_from: contract.cold_from.unwrap_or(1.0),
+        warm_within: span(contract.warm_within),
+        tip_multiple: contract.tip_multiple.unwrap_or(f64::INFINITY),
+        overload_for: span(contract.overload_for),
+        soft_removal: contract.soft_removal.unwrap_or(false),
+        routers: info.balancers.unwrap_or(1),
+        zone,
+        fee_probe: fee("Probe"),
+        fee_crossing: fee("CrossZone"),
+        fee_waste: fee("Waste"),
+    })
+}
--- /dev/null
+++ b/crates/ladderpass-core/src/decide.rs
@@ -0,0 +1,836 @@
+//! Every decision of ladderpass, and every tuned value.
+//!
+//! How to call it: `Router::start`, then `Router::list_news` with the list as last held. `Router::take` gives a
+//! handle and a first `Decision`; what happens to that RPC later is a call on the handle (`Rpc::ended` for each
+//! call-out's outcome, `Rpc::left` when the client has gone). Probe results go to `Router::probed`. After a batch
+//! of such calls, `Router::tend` once: it decides what is held and says which probes and list calls are due.
+//! The types at the door are in `interface.rs`; the clock is whatever `now` says.
+
+use crate::interface::*;
+use crate::ring::Ring;
+use crate::time::{Span, Time};
+use nanorand::{Rng, WyRand};
+
+const PROBE_EVERY: Span = Span::from_millis(1000);
+/// While a group's primary is in doubt.
+const PROBE_IN_DOUBT: Span = Span::from_millis(200);
+/// A probe that has told nothing for this long is taken for lost.
+const PROBE_LOST: Span = Span::from_millis(1500);
+/// Where replicas do not check, a position is refreshed within this part of the smallest bound.
+const REFRESH_PART: f64 = 0.4;
+/// Probes and connects failed in a row before a member is left out.
+const MISSES_TO_DROP: u32 = 3;
+/// Staleness that reads without a bound start at.
+const ANY_BOUND: Span = Span::from_millis(5000);
+/// How long a fresh router holds RPCs for the first answers.
+const FIRST_ANSWERS: Span = Span::from_millis(300);
+/// A failed call-out weighs in the pick like this many in flight, for as long as its ring reaches back.
+const FAILURE_LOAD: f64 = 2.0;
+/// Usual answer times without a word before silence weighs in the pick.
+const SILENCE: f64 = 3.0;
+/// Share of the primary's in-flight limit that reads may use.
+const READ_SHARE: f64 = 0.5;
+const LIMIT_START: f64 = 10.0;
+const LIMIT_LEAST: f64 = 2.0;
+const LIMIT_MOST: f64 = 200.0;
+/// Out of contact for this long, a member is taken to have started anew.
+const LONG_GONE: Span = Span::from_millis(1000);
+/// Held RPCs are looked at again at least this often.
+const HELD_EVERY: Span = Span::from_millis(10);
+/// Evidence of a role younger than this outweighs the list.
+const LIST_LAG: Span = Span::from_millis(10_000);
+
+struct Member {
+    id: MemberId,
+    group: usize,
+    standing: Standing,
+    /// Latest time at which it was shown to be the primary, and to be a replica.
+    claim: Time,
+    replica_at: Time,
+    /// The list alone calls it primary.
+    named: bool,
+    position: Time,
+    position_at: Time,
+    /// Age of the position in its last probe, and its lag as last reckoned.
+    report_age: Option<Span>,
+    lag: Option<Span>,
+    in_flight: u32,
+    /// Since when nothing was heard while something was in flight.
+    silent_from: Time,
+    misses: u32,
+    miss_from: Time,
+    probe_sent: Option<Time>,
+    probe_at: Time,
+    cold_from: Option<Time>,
+    limit: f64,
+    failures: Ring<4>,
+    stretch: Ring<4>,
+    /// Work sent, in seconds of usual answer time.
+    sent: Ring<8>,
+}
+
+#[derive(Default)]
+struct Group {
+    members: Vec<usize>,
+    primary: Option<usize>,
+    heard: bool,
+    turn: usize,
+    held: Vec<Rpc>,
+    shedding: bool,
+}
+
+/// One row a method.
+struct Row {
+    method: Method,
+    answers: Ring<8>,
+    usual: Span,
+}
+
+struct State {
+    turn: u32,
+    arrival: Arrival,
+    taken: Time,
+    live: bool,
+    held: bool,
+    out: u32,
+    callouts: u32,
+    sent: Time,
+    /// Send of the first call-out that may have run.
+    risked: Option<Time>,
+    /// Members that failed it or turned it away.
+    tried: Vec<usize>,
+    /// Commit that a session read must see.
+    written: Time,
+}
+
+/// A router: what one instance knows, and nothing that it shares.
+pub struct Router {
+    deployment: Deployment,
+    rows: Vec<Row>,
+    started: Time,
+    chance: WyRand,
+    members: Vec<Option<Member>>,
+    groups: Vec<Group>,
+    rpcs: Vec<State>,
+    free: Vec<u32>,
+    sessions: Vec<Time>,
+    refresh_within: Span,
+    ask_at: Option<Time>,
+    ask_failures: u32,
+    notes: Vec<String>,
+}
+
+impl Router {
+    pub fn start(now: Time, seed: u64, deployment: Deployment) -> Router {
+        let bounds = deployment.methods.iter().filter_map(|m| match m.level {
+            Level::Bounded(bound) if deployment.checks == Checks::Off => Some(bound),
+            _ => None,
+        });
+        Router {
+            refresh_within: bounds.min().map_or(PROBE_EVERY, |b| PROBE_EVERY.min(b * REFRESH_PART)),
+            rows: deployment
+                .methods
+                .iter()
+                .map(|method| Row {
+                    usual: method.soft_deadline * 0.2,
+                    method: method.clone(),
+                    answers: Ring::new(Span::from_millis(5000)),
+                })
+                .collect(),
+            ask_at: deployment.must_ask.map(|_| now),
+            deployment,
+            started: now,
+            chance: WyRand::new_seed(seed),
+            members: Vec::new(),
+            groups: Vec::new(),
+            rpcs: Vec::new(),
+            free: Vec::new(),
+            sessions: Vec::new(),
+            ask_failures: 0,
+            notes: Vec::new(),
+        }
+    }
+
+    /// Takes an RPC: from here on it is owed one final answer.
+    pub fn take(&mut self, now: Time, arrival: Arrival) -> (Rpc, Decision) {
+        let slot = self.free.pop().unwrap_or_else(|| {
+            self.rpcs.push(State {
+                turn: 0,
+                arrival,
+                taken: now,
+                live: false,
+                held: false,
+                out: 0,
+                callouts: 0,
+                sent: now,
+                risked: None,
+                tried: Vec::new(),
+                written: Time::NEVER,
+            });
+            self.rpcs.len() as u32 - 1
+        });
+        let remembered = arrival.session.and_then(|s| self.sessions.get(s as usize).copied());
+        let state = &mut self.rpcs[slot as usize];
+        state.turn += 1;
+        state.tried.clear();
+        *state = State {
+            turn: state.turn,
+            arrival,
+            taken: now,
+            live: true,
+            held: false,
+            out: 0,
+            callouts: 0,
+            sent: now,
+            risked: None,
+            tried: std::mem::take(&mut state.tried),
+            written: match self.deployment.carried {
+                true => arrival.last_write.map_or(Time::NEVER, |age| now - age),
+                false => remembered.unwrap_or(Time::NEVER),
+            },
+        };
+        let rpc = Rpc { slot, turn: state.turn };
+        while self.groups.len() <= arrival.group as usize {
+            self.groups.push(Group::default());
+        }
+        let decision = self.place(now, rpc);
+        (rpc, decision)
+    }
+
+    /// The ordinary path of an RPC: who may serve it, who of these has least in flight, else the primary.
+    fn place(&mut self, now: Time, rpc: Rpc) -> Decision {
+        let state = &self.rpcs[rpc.slot as usize];
+        let row = &self.rows[state.arrival.method as usize];
+        let group_index = state.arrival.group as usize;
+        let group = &self.groups[group_index];
+        if now + self.deployment.tick * 2.0 >= state.arrival.due {
+            return self.give_up(now, rpc);
+        }
+        if state.callouts >= self.deployment.callouts_cap || self.too_late(now, rpc) {
+            return self.give_up(now, rpc);
+        }
+        // A fresh router waits for the first answers; its list may be old.
+        if !group.heard && self.deployment.probes && now - self.started < FIRST_ANSWERS {
+            return self.hold(rpc);
+        }
+        let level = row.method.level;
+        let needs = match level {
+            Level::Any => now - ANY_BOUND,
+            Level::Bounded(bound) => now - bound,
+            Level::Session => state.written.max(Time::NEVER + Span::from_nanos(1)),
+            Level::Fresh | Level::Write => Time::NEVER,
+        };
+        // The filter and the pick: fewest in flight among the replicas that pass, ties in turn.
+        let mut picked: Option<(f64, usize)> = None;
+        if !matches!(level, Level::Fresh | Level::Write) {
+            let count = group.members.len();
+            for step in 0..count {
+                let index = group.members[(group.turn + step) % count];
+                let member = self.member(index);
+                if Some(index) == group.primary
+                    || !self.usable(now, index, rpc)
+                    || !self.current(now, member, needs)
+                    || member.in_flight as f64 >= member.limit
+                {
+                    continue;
+                }
+                let load = self.load(now, member);
+                if picked.is_none_or(|(least, _)| load < least) {
+                    picked = Some((load, index));
+                }
+            }
+        }
+        // The spill, which leaves the writes their place.
+        let share = if level == Level::Write { 1.0 } else { READ_SHARE };
+        if picked.is_none()
+            && let Some(index) = group.primary
+            && self.usable(now, index, rpc)
+            && self.member(index).misses == 0
+            && (self.member(index).in_flight as f64) < self.member(index).limit * share
+        {
+            picked = Some((0.0, index));
+        }
+        // Nobody passes and the primary is unknown or full: where the members check, or any data will do,
+        // the most advanced replica is worth a try.
+        if picked.is_none()
+            && (level == Level::Any || self.deployment.checks != Checks::Off)
+            && !matches!(level, Level::Fresh | Level::Write)
+        {
+            picked = group
+                .members
+                .iter()
+                .copied()
+                .filter(|&index| Some(index) != group.primary && self.usable(now, index, rpc))
+                .filter(|&index| (self.member(index).in_flight as f64) < self.member(index).limit)
+                .max_by_key(|&index| self.member(index).position)
+                .map(|index| (0.0, index));
+        }
+        match picked {
+            Some((_, index)) => self.call_out(now, rpc, index),
+            None => self.hold(rpc),
+        }
+    }
+
+    fn call_out(&mut self, now: Time, rpc: Rpc, index: usize) -> Decision {
+        let state = &self.rpcs[rpc.slot as usize];
+        let row = &self.rows[state.arrival.method as usize];
+        let soft_end = state.taken + row.method.soft_deadline;
+        let expected = self.expected(now, index, state.arrival.method);
+        // An idempotent read leaves a member that keeps it too long while there is time to be served elsewhere.
+        let others = self.groups[state.arrival.group as usize].members.len() > 1;
+        let patience = (soft_end - now - expected * 2.0).max(expected * 4.0);
+        let moves = row.method.effect == Effect::Idempotent && row.method.level != Level::Write && others;
+        let limit = (moves && now + patience < soft_end).then_some(patience);
+        let usual = row.usual.secs();
+        let group = &mut self.groups[state.arrival.group as usize];
+        group.turn = group.members.iter().position(|&m| m == index).map_or(0, |at| at + 1);
+        let state = &mut self.rpcs[rpc.slot as usize];
+        state.held = false;
+        state.out += 1;
+        state.callouts += 1;
+        state.sent = now;
+        let member = self.member_mut(index);
+        if member.in_flight == 0 {
+            member.silent_from = now;
+        }
+        member.in_flight += 1;
+        member.sent.add(now, usual);
+        Decision::CallOut { member: member.id, limit }
+    }
+
+    fn hold(&mut self, rpc: Rpc) -> Decision {
+        let state = &mut self.rpcs[rpc.slot as usize];
+        if !state.held {
+            state.held = true;
+            self.groups[state.arrival.group as usize].held.push(rpc);
+        }
+        Decision::Hold
+    }
+
+    /// The final answer of an RPC that will not be served here.
+    fn give_up(&mut self, now: Time, rpc: Rpc) -> Decision {
+        let state = &self.rpcs[rpc.slot as usize];
+        let method = &self.rows[state.arrival.method as usize].method;
+        let harmless = match method.effect {
+            Effect::Idempotent => true,
+            Effect::Tokened { anywhere, .. } => anywhere || state.risked.is_none(),
+            Effect::NonIdempotent => state.risked.is_none(),
+        };
+        let over = now >= state.taken + method.soft_deadline && method.late == 0.0;
+        let longest = self.deployment.longest_come_back;
+        let come_back = if over { longest } else { longest * (0.2 + 0.3 * self.chance.generate::<f64>()) };
+        self.close(rpc);
+        if harmless { Decision::PushBack { come_back } } else { Decision::Abort }
+    }
+
+    fn close(&mut self, rpc: Rpc) {
+        let state = &mut self.rpcs[rpc.slot as usize];
+        if state.live && state.out == 0 {
+            self.free.push(rpc.slot);
+        }
+        state.live = false;
+        state.held = false;
+    }
+
+    /// A call-out made now would end after the answer has lost its utility, or after the client has gone.
+    fn too_late(&self, now: Time, rpc: Rpc) -> bool {
+        let state = &self.rpcs[rpc.slot as usize];
+        let row = &self.rows[state.arrival.method as usize];
+        let wanted_by = match row.method.late > 0.0 {
+            true => state.arrival.due,
+            false => state.arrival.due.min(state.taken + row.method.soft_deadline),
+        };
+        let expected = if state.callouts > 0 || state.held { row.usual } else { Span::ZERO };
+        now + expected >= wanted_by
+    }
+
+    fn member(&self, index: usize) -> &Member {
+        self.members[index].as_ref().expect("members of groups are known")
+    }
+
+    fn member_mut(&mut self, index: usize) -> &mut Member {
+        self.members[index].as_mut().expect("members of groups are known")
+    }
+
+    /// May anything be sent to it now, and this RPC in particular?
+    fn usable(&self, now: Time, index: usize, rpc: Rpc) -> bool {
+        let member = self.member(index);
+        let state = &self.rpcs[rpc.slot as usize];
+        member.standing == Standing::On
+            && member.misses < MISSES_TO_DROP
+            && !state.tried.contains(&index)
+            && self.warm_enough(now, index, self.rows[state.arrival.method as usize].usual.secs())
+    }
+
+    /// Does what it holds reach up to `needs`? Proven by a position told; where members check, reckoned by lag.
+    fn current(&self, now: Time, member: &Member, needs: Time) -> bool {
+        member.position >= needs
+            || self.deployment.checks != Checks::Off && member.lag.is_some_and(|lag| now - lag >= needs)
+    }
+
+    /// In flight, and what recent failures and an unusual silence add to it: a member that fails fast or
+    /// stands still must not look idle.
+    fn load(&self, now: Time, member: &Member) -> f64 {
+        let (failures, _) = member.failures.last(now, 4);
+        let usual = self.rows.iter().map(|row| row.usual).min().unwrap_or(Span::ZERO).secs().max(1e-4);
+        let silence = match member.in_flight {
+            0 => 0.0,
+            _ => (now - member.silent_from).secs() / usual,
+        };
+        member.in_flight as f64 + failures * FAILURE_LOAD + (silence - SILENCE).max(0.0).floor()
+    }
+
+    /// Answer time to expect of it: the method's usual one, stretched as its recent answers were.
+    fn expected(&self, now: Time, index: usize, method: u32) -> Span {
+        let usual = self.rows[method as usize].usual;
+        usual * self.stretch(now, self.member(index))
+    }
+
+    /// Present answer time over the usual one; few answers count for little.
+    fn stretch(&self, now: Time, member: &Member) -> f64 {
+        let (count, sum) = member.stretch.last(now, 2);
+        (sum + 4.0) / (count + 3.0)
+    }
+
+    /// A cold member gets of what this router sends a warm peer no more than a ramp over its warm-up allows:
+    /// if each router keeps that, so does their sum, however unequal they are.
+    fn warm_enough(&self, now: Time, index: usize, work: f64) -> bool {
+        let member = self.member(index);
+        let Some(ramp) = self.ramp(now, member) else { return true };
+        let warm = |other: &&Member| {
+            other.standing == Standing::On && other.misses == 0 && self.ramp(now, other).is_none()
+        };
+        let mean = |same_group: bool| {
+            let peers = self.members.iter().flatten();
+            let peers = peers.filter(|other| !same_group || other.group == member.group).filter(warm);
+            let (count, sum) = peers
+                .fold((0.0, 0.0), |(count, sum), other| (count + 1.0, sum + self.recently_sent(now, other)));
+            (count > 0.0).then(|| sum / count)
+        };
+        let peer = mean(true).or_else(|| mean(false)).unwrap_or(0.0);
+        let sent = self.recently_sent(now, member);
+        let typical = self.rows.iter().map(|row| row.usual.secs()).fold(f64::INFINITY, f64::min);
+        sent + work <= peer * ramp || sent == 0.0 && work <= typical * 2.0
+    }
+
+    fn recently_sent(&self, now: Time, member: &Member) -> f64 {
+        member.sent.last(now, 8).1
+    }
+
+    /// The part of its capacity that a cold member is sure to have; None once it is warm.
+    fn ramp(&self, now: Time, member: &Member) -> Option<f64> {
+        let within = self.deployment.warm_within.secs();
+        let age = (now - member.cold_from?).secs().max(0.0);
+        let from = self.deployment.cold_from;
+        (age < within).then(|| from + (1.0 - from) * age / within)
+    }
+
+    /// News of the list: it is seconds late, and never undoes what a member has shown itself.
+    pub fn list_news(&mut self, now: Time, news: ListNews) {
+        let (entries, whole) = match news {
+            ListNews::Failed => {
+                self.ask_failures += 1;
+                let most = self.deployment.must_ask.unwrap_or(Span::MAX) * 0.4;
+                let spread = 0.5 + self.chance.generate::<f64>();
+                let wait = Span::from_millis(500) * f64::from(1 << self.ask_failures.min(4)) * spread;
+                self.ask_at = self.deployment.must_ask.map(|_| now + wait.min(most));
+                return;
+            }
+            ListNews::Remembered(entries) => (entries, true),
+            ListNews::Whole(entries) => (entries, true),
+            ListNews::Changes(entries) => (entries, false),
+        };
+        if !matches!(news, ListNews::Remembered(_)) {
+            self.ask_at = None;
+            self.ask_failures = 0;
+        }
+        for entry in entries {
+            self.listed(now, entry);
+        }
+        if whole && !self.deployment.soft_removal {
+            for index in 0..self.members.len() {
+                if self.members[index].is_some() && !entries.iter().any(|e| e.member.0 as usize == index) {
+                    self.member_mut(index).standing = Standing::Off;
+                }
+            }
+        }
+        for group in 0..self.groups.len() {
+            self.find_primary(group);
+        }
+    }
+
+    fn listed(&mut self, now: Time, entry: &Entry) {
+        let index = entry.member.0 as usize;
+        if self.members.len() <= index {
+            self.members.resize_with(index + 1, || None);
+        }
+        while self.groups.len() <= entry.group as usize {
+            self.groups.push(Group::default());
+        }
+        let group = entry.group as usize;
+        if self.members[index].is_none() {
+            self.groups[group].members.push(index);
+            let spread = PROBE_EVERY * (0.1 * self.chance.generate::<f64>());
+            self.members[index] = Some(Member {
+                id: entry.member,
+                group,
+                standing: Standing::On,
+                claim: Time::NEVER,
+                replica_at: Time::NEVER,
+                named: false,
+                position: Time::NEVER,
+                position_at: Time::NEVER,
+                report_age: None,
+                lag: None,
+                in_flight: 0,
+                silent_from: now,
+                misses: 0,
+                miss_from: now,
+                probe_sent: None,
+                probe_at: if now == self.started { now } else { now + spread },
+                cold_from: None,
+                limit: LIMIT_START,
+                failures: Ring::new(Span::from_millis(500)),
+                stretch: Ring::new(Span::from_millis(500)),
+                sent: Ring::new(self.deployment.overload_for.max(Span::from_millis(100)) * 0.125),
+            });
+        }
+        let subtle = self.deployment.soft_removal && entry.standing == Standing::Off;
+        let role_told = match self.deployment.role_in_list {
+            RoleInList::Off => false,
+            RoleInList::Start => now == self.started,
+            RoleInList::Late => true,
+        };
+        let member = self.member_mut(index);
+        if !subtle {
+            member.standing = entry.standing;
+        }
+        if let Some(born) = entry.born
+            && member.cold_from.is_none_or(|from| born > from)
+        {
+            member.cold_from = Some(born);
+        }
+        let recent = now - member.replica_at < LIST_LAG;
+        member.named = entry.primary && role_told && !recent;
+    }
+
+    /// A member has shown its role: of two claims to be the primary the later wins.
+    fn shown(&mut self, index: usize, role: Role, at: Time) {
+        let member = self.member_mut(index);
+        match role {
+            Role::Primary => member.claim = member.claim.max(at),
+            Role::Replica => {
+                member.replica_at = member.replica_at.max(at);
+                member.named = false;
+            }
+        }
+        let group = member.group;
+        self.find_primary(group);
+    }
+
+    /// The member last called primary by the best evidence: its own word first, else the list's.
+    fn find_primary(&mut self, group: usize) {
+        let claim = |&&index: &&usize| {
+            let member = self.member(index);
+            member.standing == Standing::On
+                && (member.claim > member.replica_at || member.named && member.replica_at == Time::NEVER)
+        };
+        let best = self.groups[group].members.iter().filter(claim).max_by_key(|&&i| self.member(i).claim);
+        let best = best.copied();
+        if best != self.groups[group].primary {
+            self.groups[group].primary = best;
+            self.notes.push(match best {
+                Some(index) => format!("group {group}: primary is #{index}"),
+                None => format!("group {group}: no primary"),
+            });
+        }
+    }
+
+    /// The result of a probe.
+    pub fn probed(&mut self, now: Time, id: MemberId, ended: Ended, took: Span, report: Report) {
+        let index = id.0 as usize;
+        if self.members.get(index).is_none_or(Option::is_none) {
+            return;
+        }
+        self.member_mut(index).probe_sent = None;
+        if ended != Ended::Ok {
+            self.missed(now, index);
+            return;
+        }
+        self.answered(now, index);
+        let group = self.member(index).group;
+        self.groups[group].heard = true;
+        if let Some(position) = report.position {
+            let age = now - position;
+            let primary_age = self.groups[group].primary.and_then(|p| self.member(p).report_age);
+            let member = self.member_mut(index);
+            member.report_age = Some(age);
+            member.lag = primary_age.map(|primary| (age - primary).max(Span::ZERO));
+            self.told_position(now, index, position);
+        }
+        match (report.primary, report.position) {
+            // A position never goes back: one from before the claim is an old report, not a change of role.
+            (Some(true), at) => self.shown(index, Role::Primary, at.unwrap_or(now - took)),
+            (Some(false), at) => {
+                if at.is_none_or(|at| at >= self.member(index).claim) {
+                    self.shown(index, Role::Replica, at.unwrap_or(now - took));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn told_position(&mut self, now: Time, index: usize, position: Time) {
+        let member = self.member_mut(index);
+        if position > member.position {
+            member.position = position;
+            member.position_at = now;
+        }
+        if let Some(lag) = member.lag {
+            member.lag = Some(lag.min(now - member.position));
+        }
+    }
+
+    /// It is there: a member that comes back after a long absence is taken for one that has started anew.
+    fn answered(&mut self, now: Time, index: usize) {
+        let member = self.member_mut(index);
+        if member.misses >= MISSES_TO_DROP {
+            if now - member.miss_from > LONG_GONE {
+                member.cold_from = Some(now);
+            }
+            self.notes.push(format!("#{index} is back"));
+        }
+        let member = self.member_mut(index);
+        member.misses = 0;
+        member.silent_from = now;
+    }
+
+    fn missed(&mut self, now: Time, index: usize) {
+        let member = self.member_mut(index);
+        if member.misses == 0 {
+            member.miss_from = now;
+        }
+        member.misses += 1;
+        if member.misses == MISSES_TO_DROP {
+            self.notes.push(format!("#{index} is left out: {MISSES_TO_DROP} misses in a row"));
+        }
+    }
+
+    fn learn_answer(&mut self, now: Time, index: usize, method: u32, took: Span) {
+        let row = &mut self.rows[method as usize];
+        row.answers.add(now, took.secs());
+        let (count, sum) = row.answers.last(now, 8);
+        let usual = row.answers.least_mean(now, 8.0).unwrap_or(sum / count);
+        row.usual = Span::from_secs_f64(usual);
+        let member = self.member_mut(index);
+        member.stretch.add(now, took.secs() / usual.max(1e-6));
+        // The limit in flight follows shortest answer time over the present one.
+        let ratio = 1.0 / self.stretch(now, self.member(index)).max(1.0);
+        let member = self.member_mut(index);
+        let wanted = member.limit * ratio + member.limit.sqrt();
+        if wanted < member.limit || member.in_flight as f64 * 2.0 > member.limit {
+            member.limit = (member.limit * 0.9 + wanted * 0.1).clamp(LIMIT_LEAST, LIMIT_MOST);
+        }
+    }
+
+    /// Decides what is held, and says what is due: probes, list calls, the next look.
+    pub fn tend(&mut self, now: Time) -> Upkeep {
+        let mut upkeep = Upkeep::default();
+        let mut wake = now + Span::MAX;
+        for group in 0..self.groups.len() {
+            self.tend_held(now, group, &mut upkeep);
+            if !self.groups[group].held.is_empty() {
+                wake = wake.min(now + HELD_EVERY);
+            }
+        }
+        if self.deployment.probes {
+            for index in 0..self.members.len() {
+                let Some(member) = &self.members[index] else { continue };
+                if member.standing == Standing::Off {
+                    continue;
+                }
+                if member.probe_sent.is_some_and(|sent| now - sent > PROBE_LOST) {
+                    self.member_mut(index).probe_sent = None;
+                    self.missed(now, index);
+                }
+                let due = self.probe_due(now, index);
+                let member = self.member_mut(index);
+                if member.probe_sent.is_some() {
+                    wake = wake.min(now + PROBE_LOST);
+                } else if due <= now {
+                    member.probe_sent = Some(now);
+                    member.probe_at = now;
+                    upkeep.probes.push(member.id);
+                } else {
+                    wake = wake.min(due);
+                }
+            }
+        }
+        if let Some(at) = self.ask_at {
+            if at <= now {
+                upkeep.ask_list = true;
+                let spread = 0.3 + 0.2 * self.chance.generate::<f64>();
+                self.ask_at = self.deployment.must_ask.map(|most| now + most * spread);
+            }
+            wake = wake.min(self.ask_at.unwrap_or(wake));
+        }
+        upkeep.notes = std::mem::take(&mut self.notes);
+        upkeep.wake = Some(wake.max(now + self.deployment.tick));
+        upkeep
+    }
+
+    /// Held RPCs in the order of utility for the work they cost.
+    fn tend_held(&mut self, now: Time, group: usize, upkeep: &mut Upkeep) {
+        let mut held = std::mem::take(&mut self.groups[group].held);
+        held.retain(|rpc| {
+            let state = &self.rpcs[rpc.slot as usize];
+            state.turn == rpc.turn && state.live && state.held
+        });
+        held.sort_by(|a, b| self.density(*b).total_cmp(&self.density(*a)));
+        let mut kept = Vec::new();
+        let mut pushed_back = 0;
+        for rpc in held {
+            match self.place(now, rpc) {
+                Decision::Hold => kept.push(rpc),
+                decision => {
+                    pushed_back += u32::from(matches!(decision, Decision::PushBack { .. }));
+                    upkeep.decisions.push((rpc, decision));
+                }
+            }
+        }
+        if pushed_back > 0 && !self.groups[group].shedding {
+            self.notes.push(format!("group {group}: shedding"));
+        }
+        if pushed_back > 0 || kept.is_empty() {
+            self.groups[group].shedding = pushed_back > 0;
+        }
+        self.groups[group].held = kept;
+    }
+
+    fn density(&self, rpc: Rpc) -> f64 {
+        let row = &self.rows[self.rpcs[rpc.slot as usize].arrival.method as usize];
+        row.method.utility / row.usual.secs().max(1e-6)
+    }
+
+    fn probe_due(&self, now: Time, index: usize) -> Time {
+        let member = self.member(index);
+        let group = &self.groups[member.group];
+        let doubt = group.primary.is_none_or(|p| self.member(p).misses > 0);
+        let every = match doubt {
+            true => PROBE_IN_DOUBT,
+            false if Some(index) == group.primary => PROBE_EVERY,
+            false => self.refresh_within,
+        };
+        // An answer that has just told its position saves a probe.
+        let told = if now - member.position < self.refresh_within { member.position } else { Time::NEVER };
+        member.probe_at.max(told) + every
+    }
+}
+
+impl Rpc {
+    /// A call-out of this RPC has ended.
+    pub fn ended(self, router: &mut Router, now: Time, outcome: Outcome) -> Decision {
+        let index = outcome.member.0 as usize;
+        let state = &mut router.rpcs[self.slot as usize];
+        if state.turn != self.turn || router.members.get(index).is_none_or(Option::is_none) {
+            return Decision::Done;
+        }
+        let (arrival, sent) = (state.arrival, state.sent);
+        state.out = state.out.saturating_sub(1);
+        let over = outcome.complete || !state.live;
+        if over && state.out == 0 {
+            if state.live || !state.held {
+                router.free.push(self.slot);
+            }
+            state.turn += 1;
+        }
+        state.live &= !outcome.complete;
+        router.heard(now, index, &outcome, arrival);
+        if over {
+            return Decision::Done;
+        }
+        let state = &mut router.rpcs[self.slot as usize];
+        state.tried.push(index);
+        let effect = router.rows[arrival.method as usize].method.effect;
+        match outcome.ended {
+            Ended::Void => return router.give_up(now, self),
+            Ended::Unreachable | Ended::Overloaded | Ended::Absent => {}
+            _ => {
+                let first = *state.risked.get_or_insert(sent);
+                let again = match effect {
+                    Effect::Idempotent => true,
+                    Effect::Tokened { window, .. } => now - first < window,
+                    Effect::NonIdempotent => false,
+                };
+                if !again {
+                    return router.give_up(now, self);
+                }
+            }
+        }
+        router.place(now, self)
+    }
+
+    /// The client has gone, or its time is over: nothing is owed any more.
+    pub fn left(self, router: &mut Router, _now: Time) {
+        if router.rpcs[self.slot as usize].turn == self.turn {
+            router.close(self);
+        }
+    }
+}
+
+impl Router {
+    /// What the outcome of a call-out tells of the member.
+    fn heard(&mut self, now: Time, index: usize, outcome: &Outcome, arrival: Arrival) {
+        let level = self.rows[arrival.method as usize].method.level;
+        let member = self.member_mut(index);
+        member.in_flight = member.in_flight.saturating_sub(1);
+        let group = member.group;
+        match outcome.ended {
+            Ended::Ok | Ended::Absent => {
+                self.answered(now, index);
+                self.groups[group].heard = true;
+            }
+            Ended::Failed | Ended::Overloaded | Ended::Broken | Ended::TimedOut => {
+                member.failures.add(now, 1.0);
+                if outcome.role.is_some() {
+                    self.answered(now, index);
+                }
+            }
+            Ended::Unreachable => {
+                member.failures.add(now, 1.0);
+                self.missed(now, index);
+            }
+            Ended::Withdrawn | Ended::Void => {}
+        }
+        if matches!(outcome.ended, Ended::Ok | Ended::TimedOut) {
+            self.learn_answer(now, index, arrival.method, outcome.took);
+        }
+        if let Some(position) = outcome.position {
+            let commit = outcome.ended == Ended::Ok && level == Level::Write;
+            if commit && let Some(session) = arrival.session {
+                let session = session as usize;
+                if self.sessions.len() <= session {
+                    self.sessions.resize(session + 1, Time::NEVER);
+                }
+                self.sessions[session] = self.sessions[session].max(position);
+            }
+            if !commit {
+                self.member_mut(index).lag = Some(now - position);
+                self.told_position(now, index, position);
+            }
+        }
+        match outcome.role {
+            Some(Role::Primary) => {
+                self.shown(index, Role::Primary, outcome.position.unwrap_or(now - outcome.took));
+            }
+            Some(Role::Replica) => self.shown(index, Role::Replica, now),
+            None => {}
+        }
+        if outcome.ended == Ended::Absent
+            && let Level::Bounded(bound) = level
+        {
+            let member = self.member_mut(index);
+            member.lag = member.lag.map(|lag| lag.max(bound + Span::from_millis(1)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/ladderpass-core/src/interface.rs
@@ -0,0 +1,216 @@
+//! The types at the door of the decision module. Nothing here decides.
+
+use crate::time::{Span, Time};
+
+/// A member of a group, by the small index that the front gave its id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct MemberId(pub u32);
+
+/// Handle of an RPC that was taken. What happens to it later is a call on this handle.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Rpc {
+    pub(crate) slot: u32,
+    pub(crate) turn: u32,
+}
+
+/// How recent the data behind an answer must be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Level {
+    Any,
+    /// Not older than this when the call-out is sent.
+    Bounded(Span),
+    /// All that the session has written.
+    Session,
+    /// All that was committed before the RPC arrived.
+    Fresh,
+    /// Taken by the primary alone.
+    Write,
+}
+
+/// What running an RPC twice would do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Idempotent,
+    /// Repeats are known and dropped for `window` after the first send that may have run;
+    /// `anywhere`: by every member of every group, else by the members of its own group.
+    Tokened {
+        anywhere: bool,
+        window: Span,
+    },
+    NonIdempotent,
+}
+
+/// One row a method.
+#[derive(Clone, Debug)]
+pub struct Method {
+    pub level: Level,
+    pub effect: Effect,
+    pub soft_deadline: Span,
+    pub deadline: Span,
+    pub utility: f64,
+    /// Share of the utility that an answer after the soft deadline still earns.
+    pub late: f64,
+}
+
+/// What a replica does with a read for which it lags too far.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Checks {
+    Off,
+    Refuse,
+    Wait(Span),
+}
+
+/// How the list names the primary of a group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RoleInList {
+    Late,
+    Start,
+    Off,
+}
+
+/// What a router is handed at start.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    pub methods: Vec<Method>,
+    /// RPCs a second within the share of each tenant, over all routers.
+    pub allowances: Vec<f64>,
+    /// Share of the utility that an RPC beyond its tenant's share earns.
+    pub over_share: f64,
+    pub checks: Checks,
+    pub role_in_list: RoleInList,
+    /// Session reads say themselves how old the session's last write is.
+    pub carried: bool,
+    /// The list comes only when it is asked for.
+    pub must_ask: Option<Span>,
+    pub probes: bool,
+    pub withdrawals: bool,
+    /// Two call-outs of one RPC may be out together.
+    pub second_copies: bool,
+    pub callouts_cap: u32,
+    pub longest_come_back: Span,
+    pub connect_limit: Span,
+    /// Least time between two batches of events.
+    pub tick: Span,
+    pub cold_from: f64,
+    pub warm_within: Span,
+    pub tip_multiple: f64,
+    pub overload_for: Span,
+    /// Only an entry that says `Fading` binds; a member that left the list may still be called.
+    pub soft_removal: bool,
+    pub routers: u32,
+    pub zone: u32,
+    pub fee_probe: f64,
+    pub fee_crossing: f64,
+    pub fee_waste: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    On,
+    Fading,
+    Off,
+}
+
+/// A member as the list tells it.
+#[derive(Clone, Copy, Debug)]
+pub struct Entry {
+    pub member: MemberId,
+    pub group: u32,
+    pub zone: u32,
+    pub primary: bool,
+    pub standing: Standing,
+    pub born: Option<Time>,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub enum ListNews<'a> {
+    /// The whole list as this router last held it before its start; it may be stale.
+    Remembered(&'a [Entry]),
+    Whole(&'a [Entry]),
+    Changes(&'a [Entry]),
+    /// A call for the list failed, or the subscription broke.
+    Failed,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    pub method: u32,
+    pub group: u32,
+    /// When the client gives this try up.
+    pub due: Time,
+    /// The client said that this is a repeat.
+    pub resent: bool,
+    pub tenant: Option<u32>,
+    pub session: Option<u32>,
+    /// Age of the session's last write, where it is carried.
+    pub last_write: Option<Span>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    Primary,
+    Replica,
+}
+
+/// How a call-out or a probe ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    Ok,
+    /// Answered with an error; it may have had an effect.
+    Failed,
+    /// Turned away unseen: full, or fading.
+    Overloaded,
+    TimedOut,
+    /// No connection could be made; it never ran.
+    Unreachable,
+    Broken,
+    Withdrawn,
+    /// Never sent.
+    Void,
+    /// Turned away without effect: not the primary, or too far behind.
+    Absent,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Outcome {
+    pub member: MemberId,
+    pub ended: Ended,
+    pub took: Span,
+    /// The RPC has its final answer, by this outcome or before it.
+    pub complete: bool,
+    pub role: Option<Role>,
+    /// A proven position of the member; for a write that went through, its commit.
+    pub position: Option<Time>,
+}
+
+/// What a member says of itself when probed.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Report {
+    pub position: Option<Time>,
+    pub primary: Option<bool>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// Send it to this member; None: no limit but the client's own.
+    CallOut { member: MemberId, limit: Option<Span> },
+    /// Keep it; `Router::tend` will decide, or the outcome of the call-out that is out.
+    Hold,
+    /// Final: a further try is harmless, after this long.
+    PushBack { come_back: Span },
+    /// Final: failed, and nothing is said of its effect.
+    Abort,
+    /// It has its final answer already.
+    Done,
+}
+
+/// What `Router::tend` asks of the front.
+#[derive(Debug, Default)]
+pub struct Upkeep {
+    pub decisions: Vec<(Rpc, Decision)>,
+    pub probes: Vec<MemberId>,
+    /// Ask for the list, and to be told of its changes.
+    pub ask_list: bool,
+    pub notes: Vec<String>,
+    pub wake: Option<Time>,
+}
--- /dev/null
+++ b/crates/ladderpass-core/src/lib.rs
@@ -0,0 +1,13 @@
+//! ladderpass decides which member of a group (a primary and its replicas) serves each RPC.
+//!
+//! This crate knows no wire: a front decodes what it hears into calls on [`Router`] and on the handle
+//! [`Rpc`], and carries out the [`Decision`]s it gets back.
+
+mod decide;
+pub mod interface;
+pub mod ring;
+pub mod time;
+
+pub use decide::Router;
+pub use interface::*;
+pub use time::{Span, Time};
--- /dev/null
+++ b/crates/ladderpass-core/src/time.rs
@@ -0,0 +1,97 @@
+//! Points in time and spans of time, in nanoseconds; two types, so that they can't be mixed up.
+
+use std::ops::{Add, AddAssign, Mul, Sub};
+
+/// A point on the clock that the front hands in; its zero means nothing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Time(i64);
+
+/// The distance between two points in time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Span(i64);
+
+impl Time {
+    /// Earlier than every time that a clock tells.
+    pub const NEVER: Time = Time(i64::MIN / 2);
+
+    pub const fn from_nanos(nanos: i64) -> Time {
+        Time(nanos)
+    }
+
+    pub const fn nanos(self) -> i64 {
+        self.0
+    }
+}
+
+impl Span {
+    pub const ZERO: Span = Span(0);
+    pub const MAX: Span = Span(i64::MAX / 4);
+
+    pub const fn nanos(self) -> i64 {
+        self.0
+    }
+
+    pub const fn from_nanos(nanos: i64) -> Span {
+        Span(nanos)
+    }
+
+    pub const fn from_millis(millis: i64) -> Span {
+        Span(millis * 1_000_000)
+    }
+
+    pub fn from_secs_f64(secs: f64) -> Span {
+        Span((secs * 1e9) as i64)
+    }
+
+    pub fn secs(self) -> f64 {
+        self.0 as f64 / 1e9
+    }
+}
+
+impl Add<Span> for Time {
+    type Output = Time;
+    fn add(self, span: Span) -> Time {
+        Time(self.0.saturating_add(span.0))
+    }
+}
+
+impl Sub<Span> for Time {
+    type Output = Time;
+    fn sub(self, span: Span) -> Time {
+        Time(self.0.saturating_sub(span.0))
+    }
+}
+
+impl Sub<Time> for Time {
+    type Output = Span;
+    fn sub(self, other: Time) -> Span {
+        Span(self.0.saturating_sub(other.0))
+    }
+}
+
+impl Add for Span {
+    type Output = Span;
+    fn add(self, other: Span) -> Span {
+        Span(self.0.saturating_add(other.0))
+    }
+}
+
+impl AddAssign for Span {
+    fn add_assign(&mut self, other: Span) {
+        *self = *self + other;
+    }
+}
+
+impl Sub for Span {
+    type Output = Span;
+    fn sub(self, other: Span) -> Span {
+        Span(self.0.saturating_sub(other.0))
+    }
+}
+
+impl Mul<f64> for Span {
+    type Output = Span;
+    fn mul(self, factor: f64) -> Span {
+        Span((self.0 as f64 * factor) as i64)
+    }
+}
--- /dev/null
+++ b/crates/ladderpass-core/tests/plain.rs
@@ -0,0 +1,141 @@
+//! Plain cases of the mechanism.
+
+use ladderpass_core::*;
+
+fn at(ms: i64) -> Time {
+    Time::from_nanos(1_000_000_000_000 + ms * 1_000_000)
+}
+
+fn method(level: Level, effect: Effect) -> Method {
+    Method {
+        level,
+        effect,
+        soft_deadline: Span::from_millis(500),
+        deadline: Span::from_millis(2000),
+        utility: 1.0,
+        late: 0.0,
+    }
+}
+
+fn deployment() -> Deployment {
+    Deployment {
+        methods: vec![
+            method(Level::Bounded(Span::from_millis(800)), Effect::Idempotent),
+            method(Level::Write, Effect::NonIdempotent),
+        ],
+        allowances: vec![],
+        over_share: 1.0,
+        checks: Checks::Off,
+        role_in_list: RoleInList::Late,
+        carried: true,
+        must_ask: None,
+        probes: true,
+        withdrawals: true,
+        second_copies: false,
+        callouts_cap: 6,
+        longest_come_back: Span::from_millis(500),
+        connect_limit: Span::from_millis(250),
+        tick: Span::from_millis(5),
+        cold_from: 0.2,
+        warm_within: Span::from_millis(10_000),
+        tip_multiple: 3.0,
+        overload_for: Span::from_millis(2000),
+        soft_removal: false,
+        routers: 1,
+        zone: 0,
+        fee_probe: 0.01,
+        fee_crossing: 0.0,
+        fee_waste: 0.03,
+    }
+}
+
+fn entry(member: u32, primary: bool) -> Entry {
+    Entry { member: MemberId(member), group: 0, zone: 0, primary, standing: Standing::On, born: None }
+}
+
+fn started() -> Router {
+    let mut router = Router::start(at(0), 7, deployment());
+    router.list_news(at(0), ListNews::Remembered(&[entry(0, true), entry(1, false), entry(2, false)]));
+    assert_eq!(router.tend(at(0)).probes.len(), 3);
+    router
+}
+
+fn probe(router: &mut Router, ms: i64, member: u32, position_ms: i64, primary: bool) {
+    let report = Report { position: Some(at(position_ms)), primary: Some(primary) };
+    router.probed(at(ms), MemberId(member), Ended::Ok, Span::from_millis(1), report);
+}
+
+fn arrival(method: u32, ms: i64) -> Arrival {
+    Arrival {
+        method,
+        group: 0,
+        due: at(ms + 2000),
+        resent: false,
+        tenant: None,
+        session: None,
+        last_write: None,
+    }
+}
+
+fn sent_to(decision: Decision) -> Option<u32> {
+    match decision {
+        Decision::CallOut { member, .. } => Some(member.0),
+        _ => None,
+    }
+}
+
+#[test]
+fn a_fresh_router_holds_until_the_first_answers() {
+    let mut router = started();
+    let (_, decision) = router.take(at(1), arrival(0, 1));
+    assert_eq!(decision, Decision::Hold);
+    probe(&mut router, 5, 1, 0, false);
+    assert_eq!(sent_to(router.tend(at(5)).decisions[0].1), Some(1));
+}
+
+#[test]
+fn a_read_leaves_out_a_lagging_replica_and_spills_to_the_primary() {
+    let mut router = started();
+    probe(&mut router, 5, 0, 4, true);
+    probe(&mut router, 5, 1, 0, false);
+    probe(&mut router, 5, 2, -2000, false);
+    for _ in 0..4 {
+        assert_eq!(sent_to(router.take(at(10), arrival(0, 10)).1), Some(1));
+    }
+    assert_eq!(sent_to(router.take(at(900), arrival(0, 900)).1), Some(0));
+}
+
+#[test]
+fn a_write_that_may_have_run_is_never_sent_again_nor_pushed_back() {
+    let mut router = started();
+    probe(&mut router, 5, 0, 4, true);
+    let (rpc, decision) = router.take(at(10), arrival(1, 10));
+    assert_eq!(sent_to(decision), Some(0));
+    let outcome = Outcome {
+        member: MemberId(0),
+        ended: Ended::Broken,
+        took: Span::from_millis(5),
+        complete: false,
+        role: None,
+        position: None,
+    };
+    assert_eq!(rpc.ended(&mut router, at(15), outcome), Decision::Abort);
+}
+
+#[test]
+fn a_write_turned_away_waits_for_the_new_primary() {
+    let mut router = started();
+    probe(&mut router, 5, 0, 4, true);
+    let (rpc, _) = router.take(at(10), arrival(1, 10));
+    let outcome = Outcome {
+        member: MemberId(0),
+        ended: Ended::Absent,
+        took: Span::from_millis(1),
+        complete: false,
+        role: Some(Role::Replica),
+        position: Some(at(9)),
+    };
+    assert_eq!(rpc.ended(&mut router, at(11), outcome), Decision::Hold);
+    probe(&mut router, 20, 2, 18, true);
+    assert_eq!(sent_to(router.tend(at(20)).decisions[0].1), Some(2));
+}
