--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -571,10 +571,8 @@
         match (report.primary, report.position) {
             // A position never goes back: one from before the claim is an old report, not a change of role.
             (Some(true), at) => self.shown(index, Role::Primary, at.unwrap_or(now - took)),
-            (Some(false), at) => {
-                if at.is_none_or(|at| at >= self.member(index).claim) {
-                    self.shown(index, Role::Replica, at.unwrap_or(now - took));
-                }
+            (Some(false), at) if at.is_none_or(|at| at >= self.member(index).claim) => {
+                self.shown(index, Role::Replica, at.unwrap_or(now - took));
             }
             _ => {}
         }
