Cold members are measured against the least-sent warm peer; probe at once at start

The least-sent warm peer of the group bounds it now. A fresh router also waited a probe period before its first probe.

--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -30,6 +30,8 @@
 const SILENCE: f64 = 3.0;
 /// Share of the primary's in-flight limit that reads may use.
 const READ_SHARE: f64 = 0.5;
+/// No pushback for this long: shedding is over.
+const SHED_OVER: Span = Span::from_millis(3000);
 const LIMIT_START: f64 = 10.0;
 const LIMIT_LEAST: f64 = 2.0;
 const LIMIT_MOST: f64 = 200.0;
@@ -60,7 +62,7 @@
     misses: u32,
     miss_from: Time,
     probe_sent: Option<Time>,
-    probe_at: Time,
+    probed_at: Time,
     cold_from: Option<Time>,
     limit: f64,
     failures: Ring<4>,
@@ -76,7 +78,7 @@
     heard: bool,
     turn: usize,
     held: Vec<Rpc>,
-    shedding: bool,
+    shed_at: Time,
 }
 
 /// One row a method.
@@ -400,14 +402,12 @@
         let warm = |other: &&Member| {
             other.standing == Standing::On && other.misses == 0 && self.ramp(now, other).is_none()
         };
-        let mean = |same_group: bool| {
+        let least = |same_group: bool| {
             let peers = self.members.iter().flatten();
             let peers = peers.filter(|other| !same_group || other.group == member.group).filter(warm);
-            let (count, sum) = peers
-                .fold((0.0, 0.0), |(count, sum), other| (count + 1.0, sum + self.recently_sent(now, other)));
-            (count > 0.0).then(|| sum / count)
+            peers.map(|other| self.recently_sent(now, other)).reduce(f64::min)
         };
-        let peer = mean(true).or_else(|| mean(false)).unwrap_or(0.0);
+        let peer = least(true).or_else(|| least(false)).unwrap_or(0.0);
         let sent = self.recently_sent(now, member);
         let typical = self.rows.iter().map(|row| row.usual.secs()).fold(f64::INFINITY, f64::min);
         sent + work <= peer * ramp || sent == 0.0 && work <= typical * 2.0
@@ -470,7 +470,6 @@
         let group = entry.group as usize;
         if self.members[index].is_none() {
             self.groups[group].members.push(index);
-            let spread = PROBE_EVERY * (0.1 * self.chance.generate::<f64>());
             self.members[index] = Some(Member {
                 id: entry.member,
                 group,
@@ -487,7 +486,7 @@
                 misses: 0,
                 miss_from: now,
                 probe_sent: None,
-                probe_at: if now == self.started { now } else { now + spread },
+                probed_at: Time::NEVER,
                 cold_from: None,
                 limit: LIMIT_START,
                 failures: Ring::new(Span::from_millis(500)),
@@ -657,7 +656,7 @@
                     wake = wake.min(now + PROBE_LOST);
                 } else if due <= now {
                     member.probe_sent = Some(now);
-                    member.probe_at = now;
+                    member.probed_at = now;
                     upkeep.probes.push(member.id);
                 } else {
                     wake = wake.min(due);
@@ -696,11 +695,12 @@
                 }
             }
         }
-        if pushed_back > 0 && !self.groups[group].shedding {
-            self.notes.push(format!("group {group}: shedding"));
+        let state = &mut self.groups[group];
+        if pushed_back > 0 && now - state.shed_at > SHED_OVER {
+            self.notes.push(format!("group {group}: shedding on"));
         }
-        if pushed_back > 0 || kept.is_empty() {
-            self.groups[group].shedding = pushed_back > 0;
+        if pushed_back > 0 {
+            state.shed_at = now;
         }
         self.groups[group].held = kept;
     }
@@ -721,7 +721,7 @@
         };
         // An answer that has just told its position saves a probe.
         let told = if now - member.position < self.refresh_within { member.position } else { Time::NEVER };
-        member.probe_at.max(told) + every
+        member.probed_at.max(told) + every
     }
 }
 
