--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -252,20 +252,15 @@
         {
             picked = Some((0.0, index));
         }
-        // Nobody passes and the primary is unknown or full: where the members check, or any data will do,
-        // the most advanced replica is worth a try.
+        // No primary, and no lag is known for want of one: where members check, the most advanced replica.
         if picked.is_none()
-            && (level == Level::Any || self.deployment.checks != Checks::Off)
+            && group.primary.is_none()
+            && self.deployment.checks != Checks::Off
             && !matches!(level, Level::Fresh | Level::Write)
         {
-            picked = group
-                .members
-                .iter()
-                .copied()
-                .filter(|&index| Some(index) != group.primary && self.usable(now, index, rpc))
-                .filter(|&index| (self.member(index).in_flight as f64) < self.member(index).limit)
-                .max_by_key(|&index| self.member(index).position)
-                .map(|index| (0.0, index));
+            let unknown = |index: &usize| self.member(*index).lag.is_none() && self.usable(now, *index, rpc);
+            let replicas = group.members.iter().copied().filter(unknown);
+            picked = replicas.max_by_key(|&index| self.member(index).position).map(|index| (0.0, index));
         }
         match picked {
             Some((_, index)) => self.call_out(now, rpc, index),
