--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -32,6 +32,8 @@
 const READ_SHARE: f64 = 0.5;
 /// No pushback for this long: shedding is over.
 const SHED_OVER: Span = Span::from_millis(3000);
+/// A method is long from this multiple of the shortest one's answer time.
+const LONG: f64 = 4.0;
 const LIMIT_START: f64 = 10.0;
 const LIMIT_LEAST: f64 = 2.0;
 const LIMIT_MOST: f64 = 200.0;
@@ -217,14 +219,25 @@
         }
         let level = row.method.level;
         let needs = match level {
-            Level::Any => now - ANY_BOUND,
             Level::Bounded(bound) => now - bound,
             Level::Session => state.written.max(Time::NEVER + Span::from_nanos(1)),
-            Level::Fresh | Level::Write => Time::NEVER,
+            _ => Time::NEVER,
         };
         // The filter and the pick: fewest in flight among the replicas that pass, ties in turn.
         let mut picked: Option<(f64, usize)> = None;
-        if !matches!(level, Level::Fresh | Level::Write) {
+        let long = level == Level::Any && self.is_long(state.arrival.method);
+        // Any data will do: past the bound it starts at, before the primary is asked, and for long reads,
+        // which stop the log of the replica that holds them, the one that is furthest behind already.
+        let passes: &[Time] = match level {
+            Level::Fresh | Level::Write => &[],
+            Level::Any if long => &[Time::NEVER],
+            Level::Any => &[now - ANY_BOUND, Time::NEVER],
+            _ => &[needs],
+        };
+        for &needs in passes {
+            if picked.is_some() {
+                break;
+            }
             let count = group.members.len();
             for step in 0..count {
                 let index = group.members[(group.turn + step) % count];
@@ -236,7 +249,10 @@
                 {
                     continue;
                 }
-                let load = self.load(now, member);
+                let mut load = self.load(now, member);
+                if long {
+                    load = -self.behind(now, member).secs();
+                }
                 if picked.is_none_or(|(least, _)| load < least) {
                     picked = Some((load, index));
                 }
@@ -365,6 +381,16 @@
             || self.deployment.checks != Checks::Off && member.lag.is_some_and(|lag| now - lag >= needs)
     }
 
+    fn behind(&self, now: Time, member: &Member) -> Span {
+        member.lag.unwrap_or(now - member.position)
+    }
+
+    /// Much longer than the other methods' answers.
+    fn is_long(&self, method: u32) -> bool {
+        let least = self.rows.iter().map(|row| row.usual).min().unwrap_or(Span::ZERO);
+        self.rows[method as usize].usual > least * LONG
+    }
+
     /// In flight, and what recent failures and an unusual silence add to it: a member that fails fast or
     /// stands still must not look idle.
     fn load(&self, now: Time, member: &Member) -> f64 {
