--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -35,7 +35,11 @@
 /// A method is long from this multiple of the shortest one's answer time.
 const LONG: f64 = 4.0;
 const LIMIT_START: f64 = 10.0;
-const LIMIT_LEAST: f64 = 2.0;
+const LIMIT_LEAST: f64 = 1.0;
+/// What a member that turns work away leaves of its limit.
+const LIMIT_CUT: f64 = 0.8;
+/// The shortest answer time is taken to be no more than this part of the soft deadline.
+const SOFT_PART: f64 = 0.25;
 const LIMIT_MOST: f64 = 200.0;
 /// Out of contact for this long, a member is taken to have started anew.
 const LONG_GONE: Span = Span::from_millis(1000);
@@ -639,6 +643,8 @@
         row.answers.add(now, took.secs());
         let (count, sum) = row.answers.last(now, 8);
         let usual = row.answers.least_mean(now, 8.0).unwrap_or(sum / count);
+        // A jam from the start on must not pass for the usual.
+        let usual = usual.min(row.method.soft_deadline.secs() * SOFT_PART);
         row.usual = Span::from_secs_f64(usual);
         let member = self.member_mut(index);
         member.stretch.add(now, took.secs() / usual.max(1e-6));
@@ -811,6 +817,9 @@
             }
             Ended::Failed | Ended::Overloaded | Ended::Broken | Ended::TimedOut => {
                 member.failures.add(now, 1.0);
+                if outcome.ended == Ended::Overloaded {
+                    member.limit = (member.limit * LIMIT_CUT).max(LIMIT_LEAST);
+                }
                 if outcome.role.is_some() {
                     self.answered(now, index);
                 }
