--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -297,7 +297,7 @@
         let others = self.groups[state.arrival.group as usize].members.len() > 1;
         let patience = (soft_end - now - expected * 2.0).max(expected * 4.0);
         let moves = row.method.effect == Effect::Idempotent && row.method.level != Level::Write && others;
-        let limit = (moves && now + patience < soft_end).then_some(patience);
+        let limit = (false && moves && now + patience < soft_end).then_some(patience);
         let usual = row.usual.secs();
         let group = &mut self.groups[state.arrival.group as usize];
         group.turn = group.members.iter().position(|&m| m == index).map_or(0, |at| at + 1);
@@ -352,13 +352,19 @@
     /// A call-out made now would end after the answer has lost its utility, or after the client has gone.
     fn too_late(&self, now: Time, rpc: Rpc) -> bool {
         let state = &self.rpcs[rpc.slot as usize];
-        let row = &self.rows[state.arrival.method as usize];
-        let wanted_by = match row.method.late > 0.0 {
+        let usual = self.rows[state.arrival.method as usize].usual;
+        let expected = if state.callouts > 0 || state.held { usual } else { Span::ZERO };
+        now + expected >= self.wanted_by(rpc)
+    }
+
+    /// When an answer stops earning anything.
+    fn wanted_by(&self, rpc: Rpc) -> Time {
+        let state = &self.rpcs[rpc.slot as usize];
+        let method = &self.rows[state.arrival.method as usize].method;
+        match method.late > 0.0 {
             true => state.arrival.due,
-            false => state.arrival.due.min(state.taken + row.method.soft_deadline),
-        };
-        let expected = if state.callouts > 0 || state.held { row.usual } else { Span::ZERO };
-        now + expected >= wanted_by
+            false => state.arrival.due.min(state.taken + method.soft_deadline),
+        }
     }
 
     fn member(&self, index: usize) -> &Member {
@@ -369,10 +375,14 @@
         self.members[index].as_mut().expect("members of groups are known")
     }
 
-    /// May anything be sent to it now, and this RPC in particular?
+    /// May anything be sent to it now, and this RPC in particular? Not where its answer would come too late:
+    /// what the answers of the last seconds tell, so that a jam is tried again once they are forgotten.
     fn usable(&self, now: Time, index: usize, rpc: Rpc) -> bool {
         let member = self.member(index);
         let state = &self.rpcs[rpc.slot as usize];
+        if now + self.expected(now, index, state.arrival.method) >= self.wanted_by(rpc) {
+            return false;
+        }
         member.standing == Standing::On
             && member.misses < MISSES_TO_DROP
             && !state.tried.contains(&index)
@@ -415,7 +425,7 @@
 
     /// Present answer time over the usual one; few answers count for little.
     fn stretch(&self, now: Time, member: &Member) -> f64 {
-        let (count, sum) = member.stretch.last(now, 2);
+        let (count, sum) = member.stretch.last(now, 4);
         (sum + 4.0) / (count + 3.0)
     }
 
