--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -72,7 +72,7 @@
     cold_from: Option<Time>,
     limit: f64,
     failures: Ring<4>,
-    stretch: Ring<4>,
+    stretch: Ring<8>,
     /// Work sent, in seconds of usual answer time.
     sent: Ring<8>,
 }
@@ -228,7 +228,8 @@
             _ => Time::NEVER,
         };
         // The filter and the pick: fewest in flight among the replicas that pass, ties in turn.
-        let mut picked: Option<(f64, usize)> = None;
+        let mut picked: Option<(f64, f64, usize)> = None;
+        let usual = row.usual.secs();
         let long = level == Level::Any && self.is_long(state.arrival.method);
         // Any data will do: past the bound it starts at, before the primary is asked, and for long reads,
         // which stop the log of the replica that holds them, the one that is furthest behind already.
@@ -257,8 +258,9 @@
                 if long {
                     load = -self.behind(now, member).secs();
                 }
-                if picked.is_none_or(|(least, _)| load < least) {
-                    picked = Some((load, index));
+                let turn = (self.recently_sent(now, member) + usual) * self.stretch(now, member, 8);
+                if picked.is_none_or(|(least, next, _)| (load, turn) < (least, next)) {
+                    picked = Some((load, turn, index));
                 }
             }
         }
@@ -270,7 +272,7 @@
             && self.member(index).misses == 0
             && (self.member(index).in_flight as f64) < self.member(index).limit * share
         {
-            picked = Some((0.0, index));
+            picked = Some((0.0, 0.0, index));
         }
         // No primary, and no lag is known for want of one: where members check, the most advanced replica.
         if picked.is_none()
@@ -280,10 +282,10 @@
         {
             let unknown = |index: &usize| self.member(*index).lag.is_none() && self.usable(now, *index, rpc);
             let replicas = group.members.iter().copied().filter(unknown);
-            picked = replicas.max_by_key(|&index| self.member(index).position).map(|index| (0.0, index));
+            picked = replicas.max_by_key(|&index| self.member(index).position).map(|index| (0.0, 0.0, index));
         }
         match picked {
-            Some((_, index)) => self.call_out(now, rpc, index),
+            Some((_, _, index)) => self.call_out(now, rpc, index),
             None => self.hold(rpc),
         }
     }
@@ -420,12 +422,12 @@
     /// Answer time to expect of it: the method's usual one, stretched as its recent answers were.
     fn expected(&self, now: Time, index: usize, method: u32) -> Span {
         let usual = self.rows[method as usize].usual;
-        usual * self.stretch(now, self.member(index))
+        usual * self.stretch(now, self.member(index), 4)
     }
 
     /// Present answer time over the usual one; few answers count for little.
-    fn stretch(&self, now: Time, member: &Member) -> f64 {
-        let (count, sum) = member.stretch.last(now, 4);
+    fn stretch(&self, now: Time, member: &Member, back: usize) -> f64 {
+        let (count, sum) = member.stretch.last(now, back);
         (sum + 4.0) / (count + 3.0)
     }
 
@@ -659,7 +661,7 @@
         let member = self.member_mut(index);
         member.stretch.add(now, took.secs() / usual.max(1e-6));
         // The limit in flight follows shortest answer time over the present one.
-        let ratio = 1.0 / self.stretch(now, self.member(index)).max(1.0);
+        let ratio = 1.0 / self.stretch(now, self.member(index), 4).max(1.0);
         let member = self.member_mut(index);
         let wanted = member.limit * ratio + member.limit.sqrt();
         if wanted < member.limit || member.in_flight as f64 * 2.0 > member.limit {
