--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -34,6 +34,8 @@
 const SHED_OVER: Span = Span::from_millis(3000);
 /// A method is long from this multiple of the shortest one's answer time.
 const LONG: f64 = 4.0;
+/// Share of a member's in-flight limit that repeats past their soft deadline may use.
+const REPEAT_SHARE: f64 = 0.25;
 const LIMIT_START: f64 = 10.0;
 const LIMIT_LEAST: f64 = 1.0;
 /// What a member that turns work away leaves of its limit.
@@ -230,6 +232,11 @@
         // The filter and the pick: fewest in flight among the replicas that pass, ties in turn.
         let mut picked: Option<(f64, f64, usize)> = None;
         let usual = row.usual.secs();
+        // A repeat of a read that earns nothing late: its first try was held until there was no hope in time,
+        // so it gets what is idle and no more.
+        let repeat =
+            state.arrival.resent && row.method.late == 0.0 && row.method.effect == Effect::Idempotent;
+        let spare = if repeat { REPEAT_SHARE } else { 1.0 };
         let long = level == Level::Any && self.is_long(state.arrival.method);
         // Any data will do: past the bound it starts at, before the primary is asked, and for long reads,
         // which stop the log of the replica that holds them, the one that is furthest behind already.
@@ -250,7 +257,7 @@
                 if Some(index) == group.primary
                     || !self.usable(now, index, rpc)
                     || !self.current(now, member, needs)
-                    || member.in_flight as f64 >= member.limit
+                    || member.in_flight as f64 >= member.limit * spare
                 {
                     continue;
                 }
@@ -286,6 +293,7 @@
         }
         match picked {
             Some((_, _, index)) => self.call_out(now, rpc, index),
+            None if repeat => self.give_up(now, rpc),
             None => self.hold(rpc),
         }
     }
