--- a/crates/ladderpass-benchlink/src/wire.rs
+++ b/crates/ladderpass-benchlink/src/wire.rs
@@ -274,7 +274,7 @@
                     && !held.ended
                 {
                     held.ended = true;
-                    held.rpc.left(&mut self.router, now);
+                    held.rpc.left(&mut self.router);
                     self.drop_if_over(&id);
                 }
                 Ok(())
--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -60,7 +60,6 @@
     /// The list alone calls it primary.
     named: bool,
     position: Time,
-    position_at: Time,
     /// Age of the position in its last probe, and its lag as last reckoned.
     report_age: Option<Span>,
     lag: Option<Span>,
@@ -163,28 +162,11 @@
 
     /// Takes an RPC: from here on it is owed one final answer.
     pub fn take(&mut self, now: Time, arrival: Arrival) -> (Rpc, Decision) {
-        let slot = self.free.pop().unwrap_or_else(|| {
-            self.rpcs.push(State {
-                turn: 0,
-                arrival,
-                taken: now,
-                live: false,
-                held: false,
-                out: 0,
-                callouts: 0,
-                sent: now,
-                risked: None,
-                tried: Vec::new(),
-                written: Time::NEVER,
-            });
-            self.rpcs.len() as u32 - 1
-        });
         let remembered = arrival.session.and_then(|s| self.sessions.get(s as usize).copied());
-        let state = &mut self.rpcs[slot as usize];
-        state.turn += 1;
-        state.tried.clear();
-        *state = State {
-            turn: state.turn,
+        let written =
+            if self.deployment.carried { arrival.last_write.map(|age| now - age) } else { remembered };
+        let state = State {
+            turn: 0,
             arrival,
             taken: now,
             live: true,
@@ -193,20 +175,26 @@
             callouts: 0,
             sent: now,
             risked: None,
-            tried: std::mem::take(&mut state.tried),
-            written: match self.deployment.carried {
-                true => arrival.last_write.map_or(Time::NEVER, |age| now - age),
-                false => remembered.unwrap_or(Time::NEVER),
-            },
+            tried: Vec::new(),
+            written: written.unwrap_or(Time::NEVER),
         };
-        let rpc = Rpc { slot, turn: state.turn };
-        while self.groups.len() <= arrival.group as usize {
-            self.groups.push(Group::default());
+        let slot = self.free.pop().unwrap_or(self.rpcs.len() as u32);
+        match self.rpcs.get_mut(slot as usize) {
+            Some(old) => *old = State { turn: old.turn + 1, ..state },
+            None => self.rpcs.push(state),
         }
+        let rpc = Rpc { slot, turn: self.rpcs[slot as usize].turn };
+        self.reach_group(arrival.group);
         let decision = self.place(now, rpc);
         (rpc, decision)
     }
 
+    fn reach_group(&mut self, group: u32) -> usize {
+        let group = group as usize;
+        self.groups.resize_with(self.groups.len().max(group + 1), Group::default);
+        group
+    }
+
     /// The ordinary path of an RPC: who may serve it, who of these has least in flight, else the primary.
     fn place(&mut self, now: Time, rpc: Rpc) -> Decision {
         let state = &self.rpcs[rpc.slot as usize];
@@ -301,13 +289,6 @@
     fn call_out(&mut self, now: Time, rpc: Rpc, index: usize) -> Decision {
         let state = &self.rpcs[rpc.slot as usize];
         let row = &self.rows[state.arrival.method as usize];
-        let soft_end = state.taken + row.method.soft_deadline;
-        let expected = self.expected(now, index, state.arrival.method);
-        // An idempotent read leaves a member that keeps it too long while there is time to be served elsewhere.
-        let others = self.groups[state.arrival.group as usize].members.len() > 1;
-        let patience = (soft_end - now - expected * 2.0).max(expected * 4.0);
-        let moves = row.method.effect == Effect::Idempotent && row.method.level != Level::Write && others;
-        let limit = (false && moves && now + patience < soft_end).then_some(patience);
         let usual = row.usual.secs();
         let group = &mut self.groups[state.arrival.group as usize];
         group.turn = group.members.iter().position(|&m| m == index).map_or(0, |at| at + 1);
@@ -322,7 +303,7 @@
         }
         member.in_flight += 1;
         member.sent.add(now, usual);
-        Decision::CallOut { member: member.id, limit }
+        Decision::CallOut { member: member.id, limit: None }
     }
 
     fn hold(&mut self, rpc: Rpc) -> Decision {
@@ -509,10 +490,7 @@
         if self.members.len() <= index {
             self.members.resize_with(index + 1, || None);
         }
-        while self.groups.len() <= entry.group as usize {
-            self.groups.push(Group::default());
-        }
-        let group = entry.group as usize;
+        let group = self.reach_group(entry.group);
         if self.members[index].is_none() {
             self.groups[group].members.push(index);
             self.members[index] = Some(Member {
@@ -523,7 +501,6 @@
                 replica_at: Time::NEVER,
                 named: false,
                 position: Time::NEVER,
-                position_at: Time::NEVER,
                 report_age: None,
                 lag: None,
                 in_flight: 0,
@@ -624,10 +601,7 @@
 
     fn told_position(&mut self, now: Time, index: usize, position: Time) {
         let member = self.member_mut(index);
-        if position > member.position {
-            member.position = position;
-            member.position_at = now;
-        }
+        member.position = member.position.max(position);
         if let Some(lag) = member.lag {
             member.lag = Some(lag.min(now - member.position));
         }
@@ -784,9 +758,7 @@
         state.out = state.out.saturating_sub(1);
         let over = outcome.complete || !state.live;
         if over && state.out == 0 {
-            if state.live || !state.held {
-                router.free.push(self.slot);
-            }
+            router.free.push(self.slot);
             state.turn += 1;
         }
         state.live &= !outcome.complete;
@@ -816,7 +788,7 @@
     }
 
     /// The client has gone, or its time is over: nothing is owed any more.
-    pub fn left(self, router: &mut Router, _now: Time) {
+    pub fn left(self, router: &mut Router) {
         if router.rpcs[self.slot as usize].turn == self.turn {
             router.close(self);
         }
