--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -36,6 +36,8 @@
 const LONG: f64 = 4.0;
 /// Share of a member's in-flight limit that repeats past their soft deadline may use.
 const REPEAT_SHARE: f64 = 0.25;
+/// A replica whose answers are stretched by more takes no further long reads for being behind.
+const LONG_ROOM: f64 = 1.5;
 const LIMIT_START: f64 = 10.0;
 const LIMIT_LEAST: f64 = 1.0;
 /// What a member that turns work away leaves of its limit.
@@ -104,6 +106,7 @@
     out: u32,
     callouts: u32,
     sent: Time,
+    ended: Time,
     /// Send of the first call-out that may have run.
     risked: Option<Time>,
     /// Members that failed it or turned it away.
@@ -174,6 +177,7 @@
             out: 0,
             callouts: 0,
             sent: now,
+            ended: now,
             risked: None,
             tried: Vec::new(),
             written: written.unwrap_or(Time::NEVER),
@@ -250,7 +254,7 @@
                     continue;
                 }
                 let mut load = self.load(now, member);
-                if long {
+                if long && self.stretch(now, member, 8) < LONG_ROOM {
                     load = -self.behind(now, member).secs();
                 }
                 let turn = (self.recently_sent(now, member) + usual) * self.stretch(now, member, 8);
@@ -260,7 +264,7 @@
             }
         }
         // The spill, which leaves the writes their place.
-        let share = if level == Level::Write { 1.0 } else { READ_SHARE };
+        let share = if matches!(level, Level::Fresh | Level::Write) { 1.0 } else { READ_SHARE };
         if picked.is_none()
             && let Some(index) = group.primary
             && self.usable(now, index, rpc)
@@ -376,7 +380,8 @@
         }
         member.standing == Standing::On
             && member.misses < MISSES_TO_DROP
-            && !state.tried.contains(&index)
+            && !(state.tried.contains(&index)
+                && now - state.ended < self.rows[state.arrival.method as usize].usual)
             && self.warm_enough(now, index, self.rows[state.arrival.method as usize].usual.secs())
     }
 
@@ -768,6 +773,7 @@
         }
         let state = &mut router.rpcs[self.slot as usize];
         state.tried.push(index);
+        state.ended = now;
         let effect = router.rows[arrival.method as usize].method.effect;
         match outcome.ended {
             Ended::Void => return router.give_up(now, self),
