--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -38,7 +38,7 @@
 const REPEAT_SHARE: f64 = 0.25;
 /// A replica whose answers are stretched by more takes no further long reads for being behind.
 const LONG_ROOM: f64 = 1.5;
-const LIMIT_START: f64 = 10.0;
+const LIMIT_START: f64 = 4.0;
 const LIMIT_LEAST: f64 = 1.0;
 /// What a member that turns work away leaves of its limit.
 const LIMIT_CUT: f64 = 0.8;
@@ -652,7 +652,7 @@
         let member = self.member_mut(index);
         let wanted = member.limit * ratio + member.limit.sqrt();
         if wanted < member.limit || member.in_flight as f64 * 2.0 > member.limit {
-            member.limit = (member.limit * 0.9 + wanted * 0.1).clamp(LIMIT_LEAST, LIMIT_MOST);
+            member.limit = (member.limit * 0.75 + wanted * 0.25).clamp(LIMIT_LEAST, LIMIT_MOST);
         }
     }
 
