--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -38,6 +38,8 @@
 const REPEAT_SHARE: f64 = 0.25;
 /// A replica whose answers are stretched by more takes no further long reads for being behind.
 const LONG_ROOM: f64 = 1.5;
+/// Answer times spread: this multiple of the expected one must fit.
+const MARGIN: f64 = 1.5;
 const LIMIT_START: f64 = 4.0;
 const LIMIT_LEAST: f64 = 1.0;
 /// What a member that turns work away leaves of its limit.
@@ -375,7 +377,7 @@
     fn usable(&self, now: Time, index: usize, rpc: Rpc) -> bool {
         let member = self.member(index);
         let state = &self.rpcs[rpc.slot as usize];
-        if now + self.expected(now, index, state.arrival.method) >= self.wanted_by(rpc) {
+        if now + self.expected(now, index, state.arrival.method) * MARGIN >= self.wanted_by(rpc) {
             return false;
         }
         member.standing == Standing::On
