--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -191,7 +191,9 @@
         }
         let rpc = Rpc { slot, turn: self.rpcs[slot as usize].turn };
         self.reach_group(arrival.group);
-        let decision = self.place(now, rpc);
+        // Those that are held come first, in their order.
+        let first = self.groups[arrival.group as usize].held.is_empty();
+        let decision = if first { self.place(now, rpc) } else { self.hold(rpc) };
         (rpc, decision)
     }
 
@@ -711,7 +713,7 @@
             let state = &self.rpcs[rpc.slot as usize];
             state.turn == rpc.turn && state.live && state.held
         });
-        held.sort_by(|a, b| self.density(*b).total_cmp(&self.density(*a)));
+        held.sort_by(|a, b| self.density(now, *b).total_cmp(&self.density(now, *a)));
         let mut kept = Vec::new();
         let mut pushed_back = 0;
         for rpc in held {
@@ -733,9 +735,11 @@
         self.groups[group].held = kept;
     }
 
-    fn density(&self, rpc: Rpc) -> f64 {
-        let row = &self.rows[self.rpcs[rpc.slot as usize].arrival.method as usize];
-        row.method.utility / row.usual.secs().max(1e-6)
+    fn density(&self, now: Time, rpc: Rpc) -> f64 {
+        let state = &self.rpcs[rpc.slot as usize];
+        let row = &self.rows[state.arrival.method as usize];
+        let late = now + row.usual >= state.taken + row.method.soft_deadline;
+        row.method.utility * if late { row.method.late } else { 1.0 } / row.usual.secs().max(1e-6)
     }
 
     fn probe_due(&self, now: Time, index: usize) -> Time {
