--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -242,6 +242,7 @@
             Level::Any => &[now - ANY_BOUND, Time::NEVER],
             _ => &[needs],
         };
+        let kept_clear = long.then(|| self.most_advanced(group_index)).flatten();
         for &needs in passes {
             if picked.is_some() {
                 break;
@@ -251,6 +252,7 @@
                 let index = group.members[(group.turn + step) % count];
                 let member = self.member(index);
                 if Some(index) == group.primary
+                    || Some(index) == kept_clear
                     || !self.usable(now, index, rpc)
                     || !self.current(now, member, needs)
                     || member.in_flight as f64 >= member.limit * spare
@@ -395,6 +397,20 @@
             || self.deployment.checks != Checks::Off && member.lag.is_some_and(|lag| now - lag >= needs)
     }
 
+    /// The replica that long reads leave to the others; None where there is only one.
+    fn most_advanced(&self, group: usize) -> Option<usize> {
+        let group = &self.groups[group];
+        let replicas = || {
+            let members = group.members.iter().copied().filter(|&index| Some(index) != group.primary);
+            members.filter(|&index| {
+                let member = self.member(index);
+                member.standing == Standing::On && member.misses < MISSES_TO_DROP
+            })
+        };
+        replicas().nth(1)?;
+        replicas().max_by_key(|&index| self.member(index).position)
+    }
+
     fn behind(&self, now: Time, member: &Member) -> Span {
         member.lag.unwrap_or(now - member.position)
     }
