--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -40,6 +40,8 @@
 const LONG_ROOM: f64 = 1.5;
 /// Answer times spread: this multiple of the expected one must fit.
 const MARGIN: f64 = 1.5;
+/// Seconds of lag that make a difference to long reads.
+const LAG_STEP: f64 = 0.5;
 const LIMIT_START: f64 = 4.0;
 const LIMIT_LEAST: f64 = 1.0;
 /// What a member that turns work away leaves of its limit.
@@ -242,7 +244,7 @@
             Level::Any => &[now - ANY_BOUND, Time::NEVER],
             _ => &[needs],
         };
-        let kept_clear = long.then(|| self.most_advanced(group_index)).flatten();
+        let kept_clear = long.then(|| self.most_advanced(now, group_index)).flatten();
         for &needs in passes {
             if picked.is_some() {
                 break;
@@ -261,9 +263,12 @@
                 }
                 let mut load = self.load(now, member);
                 if long && self.stretch(now, member, 8) < LONG_ROOM {
-                    load = -self.behind(now, member).secs();
+                    load = -self.behind(now, member);
                 }
-                let turn = (self.recently_sent(now, member) + usual) * self.stretch(now, member, 8);
+                let turn = match long {
+                    true => 0.0,
+                    false => (self.recently_sent(now, member) + usual) * self.stretch(now, member, 8),
+                };
                 if picked.is_none_or(|(least, next, _)| (load, turn) < (least, next)) {
                     picked = Some((load, turn, index));
                 }
@@ -398,7 +403,7 @@
     }
 
     /// The replica that long reads leave to the others; None where there is only one.
-    fn most_advanced(&self, group: usize) -> Option<usize> {
+    fn most_advanced(&self, now: Time, group: usize) -> Option<usize> {
         let group = &self.groups[group];
         let replicas = || {
             let members = group.members.iter().copied().filter(|&index| Some(index) != group.primary);
@@ -408,11 +413,13 @@
             })
         };
         replicas().nth(1)?;
-        replicas().max_by_key(|&index| self.member(index).position)
+        replicas()
+            .min_by(|&a, &b| self.behind(now, self.member(a)).total_cmp(&self.behind(now, self.member(b))))
     }
 
-    fn behind(&self, now: Time, member: &Member) -> Span {
-        member.lag.unwrap_or(now - member.position)
+    /// Lag in rough steps, so that routers that see it at other moments agree.
+    fn behind(&self, now: Time, member: &Member) -> f64 {
+        (member.lag.unwrap_or(now - member.position).secs() / LAG_STEP).floor()
     }
 
     /// Much longer than the other methods' answers.
