In-flight limits below one leave a member idle between call-outs

Cause: with many routers the least of one in flight each still jams a member. Harm: after a jam a little-used router comes back slowly.

--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -43,7 +43,7 @@
 /// Seconds of lag that make a difference to long reads.
 const LAG_STEP: f64 = 0.5;
 const LIMIT_START: f64 = 4.0;
-const LIMIT_LEAST: f64 = 1.0;
+const LIMIT_LEAST: f64 = 0.1;
 /// What a member that turns work away leaves of its limit.
 const LIMIT_CUT: f64 = 0.8;
 /// The shortest answer time is taken to be no more than this part of the soft deadline.
@@ -72,6 +72,7 @@
     in_flight: u32,
     /// Since when nothing was heard while something was in flight.
     silent_from: Time,
+    sent_at: Time,
     misses: u32,
     miss_from: Time,
     probe_sent: Option<Time>,
@@ -257,7 +258,7 @@
                     || Some(index) == kept_clear
                     || !self.usable(now, index, rpc)
                     || !self.current(now, member, needs)
-                    || member.in_flight as f64 >= member.limit * spare
+                    || !self.room(now, index, state.arrival.method, spare)
                 {
                     continue;
                 }
@@ -317,6 +318,7 @@
             member.silent_from = now;
         }
         member.in_flight += 1;
+        member.sent_at = now;
         member.sent.add(now, usual);
         Decision::CallOut { member: member.id, limit: None }
     }
@@ -402,6 +404,17 @@
             || self.deployment.checks != Checks::Off && member.lag.is_some_and(|lag| now - lag >= needs)
     }
 
+    /// Is there room within this share of its in-flight limit? Below one, the limit is kept by leaving a member
+    /// idle between call-outs, so that many routers with little traffic each do not jam it together.
+    fn room(&self, now: Time, index: usize, method: u32, share: f64) -> bool {
+        let member = self.member(index);
+        let limit = member.limit * share;
+        if limit >= 1.0 {
+            return (member.in_flight as f64) < limit;
+        }
+        member.in_flight == 0 && now - member.sent_at >= self.expected(now, index, method) * (1.0 / limit)
+    }
+
     /// The replica that long reads leave to the others; None where there is only one.
     fn most_advanced(&self, now: Time, group: usize) -> Option<usize> {
         let group = &self.groups[group];
@@ -537,6 +550,7 @@
                 lag: None,
                 in_flight: 0,
                 silent_from: now,
+                sent_at: Time::NEVER,
                 misses: 0,
                 miss_from: now,
                 probe_sent: None,
@@ -677,7 +691,7 @@
         // The limit in flight follows shortest answer time over the present one.
         let ratio = 1.0 / self.stretch(now, self.member(index), 4).max(1.0);
         let member = self.member_mut(index);
-        let wanted = member.limit * ratio + member.limit.sqrt();
+        let wanted = member.limit * ratio + member.limit.sqrt().min(member.limit * 0.5);
         if wanted < member.limit || member.in_flight as f64 * 2.0 > member.limit {
             member.limit = (member.limit * 0.75 + wanted * 0.25).clamp(LIMIT_LEAST, LIMIT_MOST);
         }
