A time-out cuts a member's limit as being turned away does

Cause: long reads that time out came too rarely for the limit to follow; told by one member holding reports that all time out while it goes on with their work. Also guards against members that stand still. Harm: clients with little patience cut the limit of a healthy member.

--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -858,7 +858,7 @@
             }
             Ended::Failed | Ended::Overloaded | Ended::Broken | Ended::TimedOut => {
                 member.failures.add(now, 1.0);
-                if outcome.ended == Ended::Overloaded {
+                if matches!(outcome.ended, Ended::Overloaded | Ended::TimedOut) {
                     member.limit = (member.limit * LIMIT_CUT).max(LIMIT_LEAST);
                 }
                 if outcome.role.is_some() {
