--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -212,10 +212,14 @@
         let row = &self.rows[state.arrival.method as usize];
         let group_index = state.arrival.group as usize;
         let group = &self.groups[group_index];
-        if now + self.deployment.tick * 2.0 >= state.arrival.due {
-            return self.give_up(now, rpc);
-        }
-        if state.callouts >= self.deployment.callouts_cap || self.too_late(now, rpc) {
+        // No effect twice: also where it was held, or never got through, since the call-out that may have run.
+        let may_run = match (row.method.effect, state.risked) {
+            (Effect::Idempotent, _) | (_, None) => true,
+            (Effect::Tokened { window, .. }, Some(first)) => now - first < window,
+            (Effect::NonIdempotent, Some(_)) => false,
+        };
+        let out_of_time = now + self.deployment.tick * 2.0 >= state.arrival.due || self.too_late(now, rpc);
+        if !may_run || out_of_time || state.callouts >= self.deployment.callouts_cap {
             return self.give_up(now, rpc);
         }
         // A fresh router waits for the first answers; its list may be old.
@@ -817,20 +821,11 @@
         let state = &mut router.rpcs[self.slot as usize];
         state.tried.push(index);
         state.ended = now;
-        let effect = router.rows[arrival.method as usize].method.effect;
         match outcome.ended {
             Ended::Void => return router.give_up(now, self),
             Ended::Unreachable | Ended::Overloaded | Ended::Absent => {}
             _ => {
-                let first = *state.risked.get_or_insert(sent);
-                let again = match effect {
-                    Effect::Idempotent => true,
-                    Effect::Tokened { window, .. } => now - first < window,
-                    Effect::NonIdempotent => false,
-                };
-                if !again {
-                    return router.give_up(now, self);
-                }
+                state.risked.get_or_insert(sent);
             }
         }
         router.place(now, self)
--- /dev/null
+++ b/crates/ladderpass-core/tests/rules.rs
@@ -0,0 +1,303 @@
+//! Seeded random runs: whatever happens, the rules hold after every step.
+
+mod common;
+
+use common::*;
+use ladderpass_core::*;
+use nanorand::{Rng, WyRand};
+use quickcheck::{Gen, QuickCheck};
+use std::collections::HashMap;
+
+const MEMBERS: u32 = 5;
+
+#[derive(Clone, Copy)]
+struct Watched {
+    arrival: Arrival,
+    out: Option<(u32, Time)>,
+    /// Group and time of the first call-out that may have run.
+    risked: Option<Time>,
+    over: bool,
+}
+
+/// What the run has told the router, to hold its decisions against.
+struct Run {
+    chance: WyRand,
+    now: Time,
+    deployment: Deployment,
+    router: Router,
+    rpcs: HashMap<Rpc, Watched>,
+    standing: Vec<Standing>,
+    seen_fading: Vec<bool>,
+    position: Vec<Time>,
+    /// An outcome said replica, and nothing has said primary since.
+    replica: Vec<bool>,
+}
+
+impl Run {
+    fn new(seed: u64) -> Run {
+        let mut chance = WyRand::new_seed(seed);
+        let mut deployment = deployment();
+        let bounded = Level::Bounded(Span::from_millis(800));
+        let levels = [bounded, Level::Any, Level::Session, Level::Fresh, Level::Write];
+        let window = Span::from_millis(700);
+        let effects = [
+            Effect::Idempotent,
+            Effect::NonIdempotent,
+            Effect::Tokened { anywhere: true, window },
+            Effect::Tokened { anywhere: false, window },
+        ];
+        deployment.methods =
+            levels.iter().flat_map(|&level| effects.map(|effect| method(level, effect))).collect();
+        for (i, row) in deployment.methods.iter_mut().enumerate() {
+            row.late = [0.0, 0.5][i % 2];
+        }
+        deployment.checks = [Checks::Off, Checks::Refuse, Checks::Wait(Span::from_millis(20))]
+            [chance.generate_range(0..3usize)];
+        deployment.role_in_list =
+            [RoleInList::Late, RoleInList::Start, RoleInList::Off][chance.generate_range(0..3usize)];
+        deployment.carried = chance.generate::<bool>();
+        deployment.probes = chance.generate_range(0..5u32) > 0;
+        deployment.soft_removal = chance.generate_range(0..3u32) == 0;
+        deployment.must_ask = chance.generate::<bool>().then_some(Span::from_millis(10_000));
+        let now = at(0);
+        let router = Router::start(now, seed, deployment.clone());
+        let n = MEMBERS as usize;
+        let mut run = Run {
+            chance,
+            now,
+            deployment,
+            router,
+            rpcs: HashMap::new(),
+            standing: vec![Standing::On; n],
+            seen_fading: vec![false; n],
+            position: vec![Time::NEVER; n],
+            replica: vec![false; n],
+        };
+        let list: Vec<Entry> = (0..MEMBERS).map(|m| entry(m, m == 0)).collect();
+        run.router.list_news(now, ListNews::Remembered(&list));
+        run
+    }
+
+    fn below(&mut self, most: u32) -> u32 {
+        self.chance.generate_range(0..most)
+    }
+
+    fn step(&mut self) {
+        match self.below(12) {
+            0..=3 => self.arrive(),
+            4..=6 => self.outcome(),
+            7 => self.probe_result(),
+            8 => self.list_change(),
+            9 => self.leave(),
+            _ => {
+                let pause = [1, 5, 20, 300][self.below(4) as usize];
+                self.now = self.now + Span::from_millis(pause);
+            }
+        }
+        self.tend();
+    }
+
+    fn arrive(&mut self) {
+        let method = self.below(self.deployment.methods.len() as u32);
+        let mut arrival = arrival(method, 0);
+        arrival.due = self.now + Span::from_millis(i64::from(self.below(2000)));
+        arrival.resent = self.below(4) == 0;
+        arrival.session = Some(self.below(3));
+        arrival.last_write = (self.below(2) == 0).then(|| Span::from_millis(i64::from(self.below(900))));
+        let (rpc, decision) = self.router.take(self.now, arrival);
+        let watched = Watched { arrival, out: None, risked: None, over: false };
+        assert!(self.rpcs.insert(rpc, watched).is_none_or(|old| old.over && old.out.is_none()));
+        self.check(rpc, decision);
+    }
+
+    fn outcome(&mut self) {
+        let mut out: Vec<Rpc> =
+            self.rpcs.iter().filter(|(_, w)| w.out.is_some()).map(|(&rpc, _)| rpc).collect();
+        out.sort_by_key(|rpc| format!("{rpc:?}"));
+        if out.is_empty() {
+            return;
+        }
+        let rpc = out[self.below(out.len() as u32) as usize];
+        let ends = [
+            Ended::Ok,
+            Ended::Ok,
+            Ended::Failed,
+            Ended::Overloaded,
+            Ended::TimedOut,
+            Ended::Unreachable,
+            Ended::Broken,
+            Ended::Withdrawn,
+            Ended::Void,
+            Ended::Absent,
+        ];
+        let ended = ends[self.below(10) as usize];
+        let role = [None, Some(Role::Primary), Some(Role::Replica)][self.below(3) as usize];
+        let position =
+            (self.below(2) == 0).then(|| self.now - Span::from_millis(i64::from(self.below(1500))));
+        let watched = self.rpcs.get_mut(&rpc).expect("chosen from it");
+        let (member, sent) = watched.out.take().expect("chosen for it");
+        let told = matches!(ended, Ended::Ok | Ended::Absent | Ended::Overloaded | Ended::Failed);
+        let (role, position) = if told { (role, position) } else { (None, None) };
+        let proof = matches!(ended, Ended::Overloaded | Ended::Unreachable | Ended::Void | Ended::Absent);
+        if !proof {
+            watched.risked.get_or_insert(sent);
+        }
+        let complete = ended == Ended::Ok || watched.over;
+        watched.over |= complete;
+        let write = self.deployment.methods[watched.arrival.method as usize].level == Level::Write;
+        let index = member as usize;
+        if let Some(position) = position
+            && !(write && ended == Ended::Ok)
+        {
+            self.position[index] = self.position[index].max(position);
+        }
+        if let Some(role) = role {
+            self.replica[index] = role == Role::Replica;
+        }
+        let outcome =
+            Outcome { member: MemberId(member), ended, took: self.now - sent, complete, role, position };
+        let decision = rpc.ended(&mut self.router, self.now, outcome);
+        if complete {
+            assert_eq!(decision, Decision::Done, "nothing follows the end");
+        }
+        self.check(rpc, decision);
+        if self.below(4) == 0 && complete {
+            // A late or doubled outcome of an RPC that is over changes nothing.
+            assert_eq!(rpc.ended(&mut self.router, self.now, outcome), Decision::Done);
+        }
+    }
+
+    fn probe_result(&mut self) {
+        let member = self.below(MEMBERS);
+        let ended = [Ended::Ok, Ended::Ok, Ended::Ok, Ended::TimedOut][self.below(4) as usize];
+        let position = (self.below(4) > 0).then(|| self.now - Span::from_millis(i64::from(self.below(1500))));
+        let primary = [None, Some(true), Some(false)][self.below(3) as usize];
+        if ended == Ended::Ok {
+            let index = member as usize;
+            self.position[index] = self.position[index].max(position.unwrap_or(Time::NEVER));
+            if primary == Some(true) {
+                self.replica[index] = false;
+            }
+        }
+        let report = Report { position, primary };
+        self.router.probed(self.now, MemberId(member), ended, Span::from_millis(1), report);
+    }
+
+    fn list_change(&mut self) {
+        if self.below(8) == 0 {
+            return self.router.list_news(self.now, ListNews::Failed);
+        }
+        let member = self.below(MEMBERS);
+        let standing = [Standing::On, Standing::On, Standing::Fading, Standing::Off][self.below(4) as usize];
+        let mut news = entry(member, self.below(2) == 0);
+        news.standing = standing;
+        news.born = (self.below(3) == 0).then_some(self.now);
+        let index = member as usize;
+        self.seen_fading[index] =
+            standing == Standing::Fading || self.seen_fading[index] && standing == Standing::Off;
+        self.standing[index] = standing;
+        self.router.list_news(self.now, ListNews::Changes(&[news]));
+    }
+
+    fn leave(&mut self) {
+        let mut open: Vec<Rpc> = self.rpcs.iter().filter(|(_, w)| !w.over).map(|(&rpc, _)| rpc).collect();
+        open.sort_by_key(|rpc| format!("{rpc:?}"));
+        if let Some(&rpc) = open.first() {
+            self.rpcs.get_mut(&rpc).expect("listed").over = true;
+            rpc.left(&mut self.router);
+        }
+    }
+
+    fn tend(&mut self) {
+        let upkeep = self.router.tend(self.now);
+        for (rpc, decision) in upkeep.decisions {
+            self.check(rpc, decision);
+        }
+        assert!(self.deployment.probes || upkeep.probes.is_empty(), "no probes where they are not allowed");
+        assert!(self.deployment.must_ask.is_some() || !upkeep.ask_list);
+        // Rule 1: what is held has its answer before its client gives up.
+        for watched in self.rpcs.values() {
+            assert!(
+                watched.over || watched.out.is_some() || self.now < watched.arrival.due,
+                "an RPC was lost"
+            );
+        }
+    }
+
+    fn check(&mut self, rpc: Rpc, decision: Decision) {
+        let now = self.now;
+        let watched = self.rpcs.get_mut(&rpc).expect("a decision is on an RPC that was taken");
+        let row = &self.deployment.methods[watched.arrival.method as usize];
+        match decision {
+            Decision::Hold | Decision::Done => {}
+            Decision::Abort => {
+                assert!(!watched.over, "rule 1: a second final answer");
+                watched.over = true;
+            }
+            Decision::PushBack { come_back } => {
+                assert!(!watched.over, "rule 1: a second final answer");
+                assert!(come_back >= Span::ZERO && come_back <= self.deployment.longest_come_back);
+                let harmless = match row.effect {
+                    Effect::Idempotent => true,
+                    Effect::Tokened { anywhere, .. } => anywhere || watched.risked.is_none(),
+                    Effect::NonIdempotent => watched.risked.is_none(),
+                };
+                assert!(harmless, "rule 2: pushed back, and it may have run");
+                watched.over = true;
+            }
+            Decision::CallOut { member, .. } => {
+                let index = member.0 as usize;
+                assert!(!watched.over, "rule 1: sent after its answer");
+                assert!(watched.out.is_none(), "two call-outs at once");
+                match (row.effect, watched.risked) {
+                    (Effect::NonIdempotent, Some(_)) => panic!("rule 2: a second effect"),
+                    (Effect::Tokened { window, .. }, Some(first)) => {
+                        assert!(now - first < window, "rule 2: sent past the window");
+                    }
+                    _ => {}
+                }
+                let bound = if self.deployment.soft_removal {
+                    self.seen_fading[index]
+                } else {
+                    self.standing[index] != Standing::On
+                };
+                assert!(!bound, "rule 3: sent to a member that fades or is gone");
+                if let (Level::Bounded(age), Checks::Off) = (row.level, self.deployment.checks) {
+                    let proven = self.position[index] >= now - age;
+                    assert!(proven || !self.replica[index], "rule 5: a stale read");
+                }
+                watched.out = Some((member.0, now));
+            }
+        }
+    }
+}
+
+#[test]
+fn the_rules_hold_after_every_step() {
+    fn run(seed: u64) -> bool {
+        let mut run = Run::new(seed);
+        for _ in 0..400 {
+            run.step();
+        }
+        true
+    }
+    let seeded = Gen::from_size_and_seed(64, 20_261_201);
+    QuickCheck::new().rng(seeded).tests(300).quickcheck(run as fn(u64) -> bool);
+}
+
+#[test]
+fn the_same_seed_and_calls_give_the_same_decisions() {
+    fn run(seed: u64) -> bool {
+        let trace = |seed| {
+            let mut run = Run::new(seed);
+            (0..200).for_each(|_| run.step());
+            let mut ends: Vec<_> =
+                run.rpcs.iter().map(|(rpc, w)| format!("{rpc:?} {:?} {}", w.out, w.over)).collect();
+            ends.sort();
+            ends
+        };
+        trace(seed) == trace(seed)
+    }
+    let seeded = Gen::from_size_and_seed(64, 7);
+    QuickCheck::new().rng(seeded).tests(20).quickcheck(run as fn(u64) -> bool);
+}
