--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -8,6 +8,7 @@
 
 use crate::interface::*;
 use crate::ring::Ring;
+use crate::state::{Group, Member, Row, Slots};
 use crate::time::{Span, Time};
 use nanorand::{Rng, WyRand};
 
@@ -42,6 +43,8 @@
 const MARGIN: f64 = 1.5;
 /// Seconds of lag that make a difference to long reads.
 const LAG_STEP: f64 = 0.5;
+/// Width of the buckets in which answers and failures are counted.
+const MEASURE: Span = Span::from_millis(500);
 const LIMIT_START: f64 = 4.0;
 const LIMIT_LEAST: f64 = 0.1;
 /// What a member that turns work away leaves of its limit.
@@ -56,70 +59,6 @@
 /// Evidence of a role younger than this outweighs the list.
 const LIST_LAG: Span = Span::from_millis(10_000);
 
-struct Member {
-    id: MemberId,
-    group: usize,
-    standing: Standing,
-    /// Latest time at which it was shown to be the primary, and to be a replica.
-    claim: Time,
-    replica_at: Time,
-    /// The list alone calls it primary.
-    named: bool,
-    position: Time,
-    /// Age of the position in its last probe, and its lag as last reckoned.
-    report_age: Option<Span>,
-    lag: Option<Span>,
-    in_flight: u32,
-    /// Since when nothing was heard while something was in flight.
-    silent_from: Time,
-    sent_at: Time,
-    misses: u32,
-    miss_from: Time,
-    probe_sent: Option<Time>,
-    probed_at: Time,
-    cold_from: Option<Time>,
-    limit: f64,
-    failures: Ring<4>,
-    stretch: Ring<8>,
-    /// Work sent, in seconds of usual answer time.
-    sent: Ring<8>,
-}
-
-#[derive(Default)]
-struct Group {
-    members: Vec<usize>,
-    primary: Option<usize>,
-    heard: bool,
-    turn: usize,
-    held: Vec<Rpc>,
-    shed_at: Time,
-}
-
-/// One row a method.
-struct Row {
-    method: Method,
-    answers: Ring<8>,
-    usual: Span,
-}
-
-struct State {
-    turn: u32,
-    arrival: Arrival,
-    taken: Time,
-    live: bool,
-    held: bool,
-    out: u32,
-    callouts: u32,
-    sent: Time,
-    ended: Time,
-    /// Send of the first call-out that may have run.
-    risked: Option<Time>,
-    /// Members that failed it or turned it away.
-    tried: Vec<usize>,
-    /// Commit that a session read must see.
-    written: Time,
-}
-
 /// A router: what one instance knows, and nothing that it shares.
 pub struct Router {
     deployment: Deployment,
@@ -128,8 +67,7 @@
     chance: WyRand,
     members: Vec<Option<Member>>,
     groups: Vec<Group>,
-    rpcs: Vec<State>,
-    free: Vec<u32>,
+    rpcs: Slots,
     sessions: Vec<Time>,
     refresh_within: Span,
     ask_at: Option<Time>,
@@ -160,8 +98,7 @@
             chance: WyRand::new_seed(seed),
             members: Vec::new(),
             groups: Vec::new(),
-            rpcs: Vec::new(),
-            free: Vec::new(),
+            rpcs: Slots::default(),
             sessions: Vec::new(),
             ask_failures: 0,
             notes: Vec::new(),
@@ -173,26 +110,7 @@
         let remembered = arrival.session.and_then(|s| self.sessions.get(s as usize).copied());
         let written =
             if self.deployment.carried { arrival.last_write.map(|age| now - age) } else { remembered };
-        let state = State {
-            turn: 0,
-            arrival,
-            taken: now,
-            live: true,
-            held: false,
-            out: 0,
-            callouts: 0,
-            sent: now,
-            ended: now,
-            risked: None,
-            tried: Vec::new(),
-            written: written.unwrap_or(Time::NEVER),
-        };
-        let slot = self.free.pop().unwrap_or(self.rpcs.len() as u32);
-        match self.rpcs.get_mut(slot as usize) {
-            Some(old) => *old = State { turn: old.turn + 1, ..state },
-            None => self.rpcs.push(state),
-        }
-        let rpc = Rpc { slot, turn: self.rpcs[slot as usize].turn };
+        let rpc = self.rpcs.open(now, arrival, written.unwrap_or(Time::NEVER));
         self.reach_group(arrival.group);
         // Those that are held come first, in their order.
         let first = self.groups[arrival.group as usize].held.is_empty();
@@ -208,7 +126,7 @@
 
     /// The ordinary path of an RPC: who may serve it, who of these has least in flight, else the primary.
     fn place(&mut self, now: Time, rpc: Rpc) -> Decision {
-        let state = &self.rpcs[rpc.slot as usize];
+        let state = &self.rpcs[rpc];
         let row = &self.rows[state.arrival.method as usize];
         let group_index = state.arrival.group as usize;
         let group = &self.groups[group_index];
@@ -307,12 +225,12 @@
     }
 
     fn call_out(&mut self, now: Time, rpc: Rpc, index: usize) -> Decision {
-        let state = &self.rpcs[rpc.slot as usize];
+        let state = &self.rpcs[rpc];
         let row = &self.rows[state.arrival.method as usize];
         let usual = row.usual.secs();
         let group = &mut self.groups[state.arrival.group as usize];
         group.turn = group.members.iter().position(|&m| m == index).map_or(0, |at| at + 1);
-        let state = &mut self.rpcs[rpc.slot as usize];
+        let state = &mut self.rpcs[rpc];
         state.held = false;
         state.out += 1;
         state.callouts += 1;
@@ -328,7 +246,7 @@
     }
 
     fn hold(&mut self, rpc: Rpc) -> Decision {
-        let state = &mut self.rpcs[rpc.slot as usize];
+        let state = &mut self.rpcs[rpc];
         if !state.held {
             state.held = true;
             self.groups[state.arrival.group as usize].held.push(rpc);
@@ -338,7 +256,7 @@
 
     /// The final answer of an RPC that will not be served here.
     fn give_up(&mut self, now: Time, rpc: Rpc) -> Decision {
-        let state = &self.rpcs[rpc.slot as usize];
+        let state = &self.rpcs[rpc];
         let method = &self.rows[state.arrival.method as usize].method;
         let harmless = match method.effect {
             Effect::Idempotent => true,
@@ -348,22 +266,13 @@
         let over = now >= state.taken + method.soft_deadline && method.late == 0.0;
         let longest = self.deployment.longest_come_back;
         let come_back = if over { longest } else { longest * (0.2 + 0.3 * self.chance.generate::<f64>()) };
-        self.close(rpc);
+        self.rpcs.close(rpc);
         if harmless { Decision::PushBack { come_back } } else { Decision::Abort }
     }
 
-    fn close(&mut self, rpc: Rpc) {
-        let state = &mut self.rpcs[rpc.slot as usize];
-        if state.live && state.out == 0 {
-            self.free.push(rpc.slot);
-        }
-        state.live = false;
-        state.held = false;
-    }
-
     /// A call-out made now would end after the answer has lost its utility, or after the client has gone.
     fn too_late(&self, now: Time, rpc: Rpc) -> bool {
-        let state = &self.rpcs[rpc.slot as usize];
+        let state = &self.rpcs[rpc];
         let usual = self.rows[state.arrival.method as usize].usual;
         let expected = if state.callouts > 0 || state.held { usual } else { Span::ZERO };
         now + expected >= self.wanted_by(rpc)
@@ -371,7 +280,7 @@
 
     /// When an answer stops earning anything.
     fn wanted_by(&self, rpc: Rpc) -> Time {
-        let state = &self.rpcs[rpc.slot as usize];
+        let state = &self.rpcs[rpc];
         let method = &self.rows[state.arrival.method as usize].method;
         match method.late > 0.0 {
             true => state.arrival.due,
@@ -391,7 +300,7 @@
     /// what the answers of the last seconds tell, so that a jam is tried again once they are forgotten.
     fn usable(&self, now: Time, index: usize, rpc: Rpc) -> bool {
         let member = self.member(index);
-        let state = &self.rpcs[rpc.slot as usize];
+        let state = &self.rpcs[rpc];
         if now + self.expected(now, index, state.arrival.method) * MARGIN >= self.wanted_by(rpc) {
             return false;
         }
@@ -542,29 +451,8 @@
         let group = self.reach_group(entry.group);
         if self.members[index].is_none() {
             self.groups[group].members.push(index);
-            self.members[index] = Some(Member {
-                id: entry.member,
-                group,
-                standing: Standing::On,
-                claim: Time::NEVER,
-                replica_at: Time::NEVER,
-                named: false,
-                position: Time::NEVER,
-                report_age: None,
-                lag: None,
-                in_flight: 0,
-                silent_from: now,
-                sent_at: Time::NEVER,
-                misses: 0,
-                miss_from: now,
-                probe_sent: None,
-                probed_at: Time::NEVER,
-                cold_from: None,
-                limit: LIMIT_START,
-                failures: Ring::new(Span::from_millis(500)),
-                stretch: Ring::new(Span::from_millis(500)),
-                sent: Ring::new(self.deployment.overload_for.max(Span::from_millis(100)) * 0.125),
-            });
+            let sent = self.deployment.overload_for.max(MEASURE) * 0.125;
+            self.members[index] = Some(Member::new(entry.member, group, LIMIT_START, MEASURE, sent));
         }
         let subtle = self.deployment.soft_removal && entry.standing == Standing::Off;
         let role_told = match self.deployment.role_in_list {
@@ -603,8 +491,7 @@
     fn find_primary(&mut self, group: usize) {
         let claim = |&&index: &&usize| {
             let member = self.member(index);
-            member.standing == Standing::On
-                && (member.claim > member.replica_at || member.named && member.replica_at == Time::NEVER)
+            member.standing == Standing::On && (member.claim > member.replica_at || member.named)
         };
         let best = self.groups[group].members.iter().filter(claim).max_by_key(|&&i| self.member(i).claim);
         let best = best.copied();
@@ -751,7 +638,7 @@
     fn tend_held(&mut self, now: Time, group: usize, upkeep: &mut Upkeep) {
         let mut held = std::mem::take(&mut self.groups[group].held);
         held.retain(|rpc| {
-            let state = &self.rpcs[rpc.slot as usize];
+            let state = &self.rpcs[*rpc];
             state.turn == rpc.turn && state.live && state.held
         });
         held.sort_by(|a, b| self.density(now, *b).total_cmp(&self.density(now, *a)));
@@ -777,7 +664,7 @@
     }
 
     fn density(&self, now: Time, rpc: Rpc) -> f64 {
-        let state = &self.rpcs[rpc.slot as usize];
+        let state = &self.rpcs[rpc];
         let row = &self.rows[state.arrival.method as usize];
         let late = now + row.usual >= state.taken + row.method.soft_deadline;
         row.method.utility * if late { row.method.late } else { 1.0 } / row.usual.secs().max(1e-6)
@@ -802,30 +689,23 @@
     /// A call-out of this RPC has ended.
     pub fn ended(self, router: &mut Router, now: Time, outcome: Outcome) -> Decision {
         let index = outcome.member.0 as usize;
-        let state = &mut router.rpcs[self.slot as usize];
-        if state.turn != self.turn || router.members.get(index).is_none_or(Option::is_none) {
-            return Decision::Done;
-        }
-        let (arrival, sent) = (state.arrival, state.sent);
+        let Some(state) = router.rpcs.find(self) else { return Decision::Done };
+        let arrival = state.arrival;
         state.out = state.out.saturating_sub(1);
+        state.ended = now;
+        state.tried.push(index);
         let over = outcome.complete || !state.live;
-        if over && state.out == 0 {
-            router.free.push(self.slot);
-            state.turn += 1;
-        }
-        state.live &= !outcome.complete;
         router.heard(now, index, &outcome, arrival);
         if over {
+            router.rpcs.close(self);
             return Decision::Done;
         }
-        let state = &mut router.rpcs[self.slot as usize];
-        state.tried.push(index);
-        state.ended = now;
         match outcome.ended {
             Ended::Void => return router.give_up(now, self),
             Ended::Unreachable | Ended::Overloaded | Ended::Absent => {}
             _ => {
-                state.risked.get_or_insert(sent);
+                let state = &mut router.rpcs[self];
+                state.risked.get_or_insert(state.sent);
             }
         }
         router.place(now, self)
@@ -833,9 +713,7 @@
 
     /// The client has gone, or its time is over: nothing is owed any more.
     pub fn left(self, router: &mut Router) {
-        if router.rpcs[self.slot as usize].turn == self.turn {
-            router.close(self);
-        }
+        router.rpcs.close(self);
     }
 }
 
--- a/crates/ladderpass-core/src/lib.rs
+++ b/crates/ladderpass-core/src/lib.rs
@@ -6,6 +6,7 @@
 mod decide;
 pub mod interface;
 pub mod ring;
+mod state;
 pub mod time;
 
 pub use decide::Router;
--- /dev/null
+++ b/crates/ladderpass-core/src/state.rs
@@ -0,0 +1,161 @@
+//! What a router keeps in mind: types and their bookkeeping. Nothing here decides.
+
+use crate::interface::*;
+use crate::ring::Ring;
+use crate::time::{Span, Time};
+
+/// What a router knows of a member.
+pub struct Member {
+    pub id: MemberId,
+    pub group: usize,
+    pub standing: Standing,
+    /// Latest time at which it was shown to be the primary, and to be a replica.
+    pub claim: Time,
+    pub replica_at: Time,
+    /// The list alone calls it primary.
+    pub named: bool,
+    pub position: Time,
+    /// Age of the position in its last probe, and its lag as last reckoned.
+    pub report_age: Option<Span>,
+    pub lag: Option<Span>,
+    pub in_flight: u32,
+    /// Since when nothing was heard while something was in flight.
+    pub silent_from: Time,
+    pub sent_at: Time,
+    pub misses: u32,
+    pub miss_from: Time,
+    pub probe_sent: Option<Time>,
+    pub probed_at: Time,
+    pub cold_from: Option<Time>,
+    pub limit: f64,
+    pub failures: Ring<4>,
+    pub stretch: Ring<8>,
+    /// Work sent, in seconds of usual answer time.
+    pub sent: Ring<8>,
+}
+
+/// A primary and its replicas.
+#[derive(Default)]
+pub struct Group {
+    pub members: Vec<usize>,
+    pub primary: Option<usize>,
+    pub heard: bool,
+    pub turn: usize,
+    pub held: Vec<Rpc>,
+    pub shed_at: Time,
+}
+
+/// One row a method.
+pub struct Row {
+    pub method: Method,
+    pub answers: Ring<8>,
+    pub usual: Span,
+}
+
+/// An RPC that was taken, until it is answered and nothing of it is out.
+pub struct State {
+    pub turn: u32,
+    pub arrival: Arrival,
+    pub taken: Time,
+    pub live: bool,
+    pub held: bool,
+    pub out: u32,
+    pub callouts: u32,
+    pub sent: Time,
+    pub ended: Time,
+    /// Send of the first call-out that may have run.
+    pub risked: Option<Time>,
+    /// Members that failed it or turned it away.
+    pub tried: Vec<usize>,
+    /// Commit that a session read must see.
+    pub written: Time,
+}
+
+impl Member {
+    pub fn new(id: MemberId, group: usize, limit: f64, bucket: Span, sent_bucket: Span) -> Member {
+        Member {
+            id,
+            group,
+            standing: Standing::On,
+            claim: Time::NEVER,
+            replica_at: Time::NEVER,
+            named: false,
+            position: Time::NEVER,
+            report_age: None,
+            lag: None,
+            in_flight: 0,
+            silent_from: Time::NEVER,
+            sent_at: Time::NEVER,
+            misses: 0,
+            miss_from: Time::NEVER,
+            probe_sent: None,
+            probed_at: Time::NEVER,
+            cold_from: None,
+            limit,
+            failures: Ring::new(bucket),
+            stretch: Ring::new(bucket),
+            sent: Ring::new(sent_bucket),
+        }
+    }
+}
+
+/// The RPCs, in slots that are used again; a handle of an earlier use no longer fits.
+#[derive(Default)]
+pub struct Slots {
+    states: Vec<State>,
+    free: Vec<u32>,
+}
+
+impl Slots {
+    pub fn open(&mut self, now: Time, arrival: Arrival, written: Time) -> Rpc {
+        let state = State {
+            turn: 0,
+            arrival,
+            taken: now,
+            live: true,
+            held: false,
+            out: 0,
+            callouts: 0,
+            sent: now,
+            ended: now,
+            risked: None,
+            tried: Vec::new(),
+            written,
+        };
+        let slot = self.free.pop().unwrap_or(self.states.len() as u32);
+        match self.states.get_mut(slot as usize) {
+            Some(old) => *old = State { turn: old.turn, ..state },
+            None => self.states.push(state),
+        }
+        Rpc { slot, turn: self.states[slot as usize].turn }
+    }
+
+    /// The RPC of a handle; None once its slot has been given back.
+    pub fn find(&mut self, rpc: Rpc) -> Option<&mut State> {
+        self.states.get_mut(rpc.slot as usize).filter(|state| state.turn == rpc.turn)
+    }
+
+    /// The RPC has its final answer; its slot is given back once no call-out of it is out.
+    pub fn close(&mut self, rpc: Rpc) {
+        let Some(state) = self.find(rpc) else { return };
+        state.live = false;
+        state.held = false;
+        if state.out == 0 {
+            state.turn += 1;
+            self.free.push(rpc.slot);
+        }
+    }
+}
+
+impl std::ops::Index<Rpc> for Slots {
+    type Output = State;
+    fn index(&self, rpc: Rpc) -> &State {
+        &self.states[rpc.slot as usize]
+    }
+}
+
+impl std::ops::IndexMut<Rpc> for Slots {
+    fn index_mut(&mut self, rpc: Rpc) -> &mut State {
+        &mut self.states[rpc.slot as usize]
+    }
+}
