Call-outs lost on the way are no sign of a jam

Also covers a member that drops work silently. Harm: a member that loses all of one method is treated as jammed.

--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -45,6 +45,8 @@
 const LAG_STEP: f64 = 0.5;
 /// Width of the buckets in which answers and failures are counted.
 const MEASURE: Span = Span::from_millis(500);
+/// A call-out that takes this multiple of the expected time while others are answered was lost.
+const QUICK: f64 = 8.0;
 const LIMIT_START: f64 = 4.0;
 const LIMIT_LEAST: f64 = 0.1;
 /// What a member that turns work away leaves of its limit.
@@ -452,7 +454,8 @@
         if self.members[index].is_none() {
             self.groups[group].members.push(index);
             let sent = self.deployment.overload_for.max(MEASURE) * 0.125;
-            self.members[index] = Some(Member::new(entry.member, group, LIMIT_START, MEASURE, sent));
+            self.members[index] =
+                Some(Member::new(entry.member, group, self.rows.len(), LIMIT_START, MEASURE, sent));
         }
         let subtle = self.deployment.soft_removal && entry.standing == Standing::Off;
         let role_told = match self.deployment.role_in_list {
@@ -721,7 +724,16 @@
     /// What the outcome of a call-out tells of the member.
     fn heard(&mut self, now: Time, index: usize, outcome: &Outcome, arrival: Arrival) {
         let level = self.rows[arrival.method as usize].method.level;
+        // A call-out that timed out, though the member has answered later ones of its method quickly, was lost
+        // on the way: no sign of a jam.
+        let sent = now - outcome.took;
+        let quick = outcome.took > self.expected(now, index, arrival.method) * QUICK;
         let member = self.member_mut(index);
+        let latest = &mut member.answered[arrival.method as usize];
+        let lost = outcome.ended == Ended::TimedOut && *latest > sent && quick;
+        if outcome.ended == Ended::Ok {
+            *latest = sent.max(*latest);
+        }
         member.in_flight = member.in_flight.saturating_sub(1);
         let group = member.group;
         match outcome.ended {
@@ -731,7 +743,7 @@
             }
             Ended::Failed | Ended::Overloaded | Ended::Broken | Ended::TimedOut => {
                 member.failures.add(now, 1.0);
-                if matches!(outcome.ended, Ended::Overloaded | Ended::TimedOut) {
+                if matches!(outcome.ended, Ended::Overloaded | Ended::TimedOut) && !lost {
                     member.limit = (member.limit * LIMIT_CUT).max(LIMIT_LEAST);
                 }
                 if outcome.role.is_some() {
@@ -744,7 +756,7 @@
             }
             Ended::Withdrawn | Ended::Void => {}
         }
-        if matches!(outcome.ended, Ended::Ok | Ended::TimedOut) {
+        if matches!(outcome.ended, Ended::Ok | Ended::TimedOut) && !lost {
             self.learn_answer(now, index, arrival.method, outcome.took);
         }
         if let Some(position) = outcome.position {
--- a/crates/ladderpass-core/src/state.rs
+++ b/crates/ladderpass-core/src/state.rs
@@ -27,6 +27,8 @@
     pub probe_sent: Option<Time>,
     pub probed_at: Time,
     pub cold_from: Option<Time>,
+    /// Latest send that it has answered, a place a method.
+    pub answered: Vec<Time>,
     pub limit: f64,
     pub failures: Ring<4>,
     pub stretch: Ring<8>,
@@ -72,7 +74,14 @@
 }
 
 impl Member {
-    pub fn new(id: MemberId, group: usize, limit: f64, bucket: Span, sent_bucket: Span) -> Member {
+    pub fn new(
+        id: MemberId,
+        group: usize,
+        methods: usize,
+        limit: f64,
+        bucket: Span,
+        sent_bucket: Span,
+    ) -> Member {
         Member {
             id,
             group,
@@ -91,6 +100,7 @@
             probe_sent: None,
             probed_at: Time::NEVER,
             cold_from: None,
+            answered: vec![Time::NEVER; methods],
             limit,
             failures: Ring::new(bucket),
             stretch: Ring::new(bucket),
