--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -47,6 +47,7 @@
 const MEASURE: Span = Span::from_millis(500);
 /// A call-out that takes this multiple of the expected time while others are answered was lost.
 const QUICK: f64 = 8.0;
+const HEADROOM: f64 = 1.25;
 const LIMIT_START: f64 = 4.0;
 const LIMIT_LEAST: f64 = 0.1;
 /// What a member that turns work away leaves of its limit.
@@ -182,7 +183,7 @@
                     || Some(index) == kept_clear
                     || !self.usable(now, index, rpc)
                     || !self.current(now, member, needs)
-                    || !self.room(now, index, state.arrival.method, spare)
+                    || !self.room(now, index, state.arrival.method, spare * self.headroom(now, member, needs))
                 {
                     continue;
                 }
@@ -330,6 +331,12 @@
         member.in_flight == 0 && now - member.sent_at >= self.expected(now, index, method) * (1.0 / limit)
     }
 
+    /// A replica whose lag nears the bound is crowded: it gets less, so that it can catch up.
+    fn headroom(&self, now: Time, member: &Member, needs: Time) -> f64 {
+        let part = member.lag.map_or(0.0, |lag| lag.secs() / (now - needs).secs().max(1e-6));
+        (HEADROOM - part).clamp(0.25, 1.0)
+    }
+
     /// The replica that long reads leave to the others; None where there is only one.
     fn most_advanced(&self, now: Time, group: usize) -> Option<usize> {
         let group = &self.groups[group];
