--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -47,7 +47,7 @@
 const MEASURE: Span = Span::from_millis(500);
 /// A call-out that takes this multiple of the expected time while others are answered was lost.
 const QUICK: f64 = 8.0;
-const HEADROOM: f64 = 1.25;
+const HEADROOM: f64 = 0.9;
 const LIMIT_START: f64 = 4.0;
 const LIMIT_LEAST: f64 = 0.1;
 /// What a member that turns work away leaves of its limit.
@@ -334,7 +334,7 @@
     /// A replica whose lag nears the bound is crowded: it gets less, so that it can catch up.
     fn headroom(&self, now: Time, member: &Member, needs: Time) -> f64 {
         let part = member.lag.map_or(0.0, |lag| lag.secs() / (now - needs).secs().max(1e-6));
-        (HEADROOM - part).clamp(0.25, 1.0)
+        (HEADROOM - part).clamp(0.1, 1.0)
     }
 
     /// The replica that long reads leave to the others; None where there is only one.
