--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -18,7 +18,7 @@
 /// A probe that has told nothing for this long is taken for lost.
 const PROBE_LOST: Span = Span::from_millis(1500);
 /// Where replicas do not check, a position is refreshed within this part of the smallest bound.
-const REFRESH_PART: f64 = 0.4;
+const REFRESH_PART: f64 = 0.6;
 /// Probes and connects failed in a row before a member is left out.
 const MISSES_TO_DROP: u32 = 3;
 /// Staleness that reads without a bound start at.
