--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -30,7 +30,7 @@
 /// Usual answer times without a word before silence weighs in the pick.
 const SILENCE: f64 = 3.0;
 /// Share of the primary's in-flight limit that reads may use.
-const READ_SHARE: f64 = 0.5;
+const READ_SHARE: f64 = 0.3;
 /// No pushback for this long: shedding is over.
 const SHED_OVER: Span = Span::from_millis(3000);
 /// A method is long from this multiple of the shortest one's answer time.
