--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -53,7 +53,7 @@
 /// What a member that turns work away leaves of its limit.
 const LIMIT_CUT: f64 = 0.8;
 /// The shortest answer time is taken to be no more than this part of the soft deadline.
-const SOFT_PART: f64 = 0.25;
+const SOFT_PART: f64 = 0.2;
 const LIMIT_MOST: f64 = 200.0;
 /// Out of contact for this long, a member is taken to have started anew.
 const LONG_GONE: Span = Span::from_millis(1000);
