--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -593,7 +593,7 @@
         let ratio = 1.0 / self.stretch(now, self.member(index), 4).max(1.0);
         let member = self.member_mut(index);
         let wanted = member.limit * ratio + member.limit.sqrt().min(member.limit * 0.5);
-        if wanted < member.limit || member.in_flight as f64 * 2.0 > member.limit {
+        if wanted < member.limit || (member.in_flight + 1) as f64 * 2.0 > member.limit {
             member.limit = (member.limit * 0.75 + wanted * 0.25).clamp(LIMIT_LEAST, LIMIT_MOST);
         }
     }
