--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -51,7 +51,7 @@
 const LIMIT_START: f64 = 4.0;
 const LIMIT_LEAST: f64 = 0.1;
 /// What a member that turns work away leaves of its limit.
-const LIMIT_CUT: f64 = 0.8;
+const LIMIT_CUT: f64 = 0.65;
 /// The shortest answer time is taken to be no more than this part of the soft deadline.
 const SOFT_PART: f64 = 0.2;
 const LIMIT_MOST: f64 = 200.0;
