--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -76,6 +76,7 @@
     ask_at: Option<Time>,
     ask_failures: u32,
     notes: Vec<String>,
+    stretch: Ring<8>,
 }
 
 impl Router {
@@ -105,6 +106,7 @@
             sessions: Vec::new(),
             ask_failures: 0,
             notes: Vec::new(),
+            stretch: Ring::new(MEASURE),
         }
     }
 
@@ -381,10 +383,11 @@
         usual * self.stretch(now, self.member(index), 4)
     }
 
-    /// Present answer time over the usual one; few answers count for little.
+    /// Present answer time over the usual one; where few answers tell, those of all members stand in.
     fn stretch(&self, now: Time, member: &Member, back: usize) -> f64 {
         let (count, sum) = member.stretch.last(now, back);
-        (sum + 4.0) / (count + 3.0)
+        let (all, total) = self.stretch.last(now, 4);
+        (sum + 3.0 * (total + 4.0) / (all + 3.0)) / (count + 3.0)
     }
 
     /// A cold member gets of what this router sends a warm peer no more than a ramp over its warm-up allows:
@@ -587,6 +590,7 @@
         // A jam from the start on must not pass for the usual.
         let usual = usual.min(row.method.soft_deadline.secs() * SOFT_PART);
         row.usual = Span::from_secs_f64(usual);
+        self.stretch.add(now, took.secs() / usual.max(1e-6));
         let member = self.member_mut(index);
         member.stretch.add(now, took.secs() / usual.max(1e-6));
         // The limit in flight follows shortest answer time over the present one.
