--- /dev/null
+++ b/crates/ladderpass-core/tests/exceptions.rs
@@ -0,0 +1,225 @@
+//! Each exception to the ordinary path, by what it guards against.
+
+mod common;
+
+use common::*;
+use ladderpass_core::*;
+
+/// Two groups of methods: 0 bounded read, 1 write, 2 `any` read, 3 long `any` read.
+fn group_of(replicas: u32, change: impl Fn(&mut Deployment)) -> Router {
+    let mut deployment = deployment();
+    deployment.methods.push(method(Level::Any, Effect::Idempotent));
+    let mut long = method(Level::Any, Effect::Idempotent);
+    long.soft_deadline = Span::from_millis(6000);
+    deployment.methods.push(long);
+    change(&mut deployment);
+    let mut router = Router::start(at(0), 7, deployment);
+    let list: Vec<Entry> = (0..=replicas).map(|m| entry(m, m == 0)).collect();
+    router.list_news(at(0), ListNews::Remembered(&list));
+    fresh(&mut router, replicas, 0);
+    router
+}
+
+/// Every member answers a probe and is up to date.
+fn fresh(router: &mut Router, replicas: u32, ms: i64) {
+    for member in 0..=replicas {
+        probe(router, ms, member, ms, member == 0);
+    }
+}
+
+fn outcome(member: u32, ended: Ended, took_ms: i64) -> Outcome {
+    Outcome {
+        member: MemberId(member),
+        ended,
+        took: Span::from_millis(took_ms),
+        complete: ended == Ended::Ok,
+        role: None,
+        position: None,
+    }
+}
+
+/// Sends `count` RPCs of a method, each answered after `took_ms`; returns how many each member got.
+fn served(router: &mut Router, method: u32, from: i64, count: i64, took_ms: i64) -> Vec<u32> {
+    let mut got = vec![0; 5];
+    for n in 0..count {
+        let ms = from + n * (took_ms + 1);
+        fresh(router, 4, ms);
+        let first = router.take(at(ms), arrival(method, ms));
+        let later = router.tend(at(ms)).decisions;
+        for (rpc, decision) in std::iter::once(first).chain(later) {
+            if let Some(member) = sent_to(decision) {
+                got[member as usize] += 1;
+                rpc.ended(router, at(ms + took_ms), outcome(member, Ended::Ok, took_ms));
+            }
+        }
+    }
+    got
+}
+
+#[test]
+fn ties_are_served_in_turn() {
+    let mut router = group_of(4, |_| {});
+    let got = served(&mut router, 0, 1, 40, 20);
+    assert!(got[0] == 0 && got[1..].iter().all(|n| (7..=13).contains(n)), "{got:?}");
+}
+
+#[test]
+fn a_member_that_fails_fast_does_not_look_idle() {
+    let mut router = group_of(2, |_| {});
+    let mut failed = 0;
+    for ms in 1..40 {
+        fresh(&mut router, 2, ms);
+        let (rpc, decision) = router.take(at(ms), arrival(0, ms));
+        let Some(member) = sent_to(decision) else { continue };
+        let ended = if member == 1 { Ended::Failed } else { Ended::Ok };
+        failed += u32::from(member == 1);
+        rpc.ended(&mut router, at(ms), outcome(member, ended, 1));
+    }
+    assert!(failed <= 3, "{failed} of 39 went to the member that fails");
+}
+
+#[test]
+fn a_cold_member_gets_no_more_than_its_ramp() {
+    let mut router = group_of(3, |_| {});
+    served(&mut router, 0, 1, 60, 20);
+    let mut newcomer = entry(4, false);
+    newcomer.born = Some(at(1300));
+    router.list_news(at(1300), ListNews::Changes(&[newcomer]));
+    let got = served(&mut router, 0, 1300, 80, 20);
+    assert!(got[4] >= 1 && f64::from(got[4]) <= 0.5 * f64::from(got[1]), "{got:?}");
+}
+
+#[test]
+fn a_member_back_from_a_long_absence_is_cold() {
+    let mut router = group_of(3, |_| {});
+    for ms in [1, 600, 1200, 1800] {
+        router.probed(at(ms), MemberId(3), Ended::Unreachable, Span::ZERO, Report::default());
+    }
+    let notes = router.tend(at(1800)).notes;
+    assert!(notes.iter().any(|note| note.contains("#3 is left out")), "{notes:?}");
+    let got = served(&mut router, 0, 2000, 80, 20);
+    assert!(f64::from(got[3]) <= 0.6 * f64::from(got[1]), "{got:?}");
+}
+
+#[test]
+fn the_limit_holds_work_back_from_a_jam_and_lets_it_grow_again() {
+    let mut router = group_of(1, |d| d.methods[1].late = 0.5);
+    served(&mut router, 1, 1, 40, 20);
+    let burst = |router: &mut Router, ms: i64| {
+        fresh(router, 4, ms);
+        let mut sent = Vec::new();
+        for _ in 0..40 {
+            let (rpc, decision) = router.take(at(ms), arrival(1, ms));
+            sent.extend(sent_to(decision).map(|_| rpc));
+        }
+        sent
+    };
+    let before = burst(&mut router, 1000);
+    let count = before.len();
+    assert!(count < 40, "all of a burst went out");
+    for rpc in before {
+        rpc.ended(&mut router, at(1900), outcome(0, Ended::TimedOut, 900));
+    }
+    router.tend(at(4000));
+    let after = burst(&mut router, 4001);
+    assert!(after.len() < count, "{} after a jam, {count} before", after.len());
+    for rpc in after {
+        rpc.ended(&mut router, at(4020), outcome(0, Ended::Ok, 19));
+    }
+    served(&mut router, 1, 7000, 60, 20);
+    assert!(burst(&mut router, 9000).len() >= 2, "the limit stayed down");
+}
+
+#[test]
+fn lost_call_outs_leave_the_limit_alone() {
+    let run = |overtaken: bool| {
+        let mut router = group_of(1, |d| d.methods[1].late = 0.5);
+        served(&mut router, 1, 1, 40, 20);
+        let ms = 1000;
+        fresh(&mut router, 4, ms);
+        let lost: Vec<Rpc> = (0..2).map(|_| router.take(at(ms), arrival(1, ms)).0).collect();
+        if overtaken {
+            served(&mut router, 1, 2000, 20, 20);
+        }
+        for rpc in lost {
+            rpc.ended(&mut router, at(2990), outcome(0, Ended::TimedOut, 1990));
+        }
+        router.tend(at(3100));
+        fresh(&mut router, 4, 3200);
+        (0..20).filter(|_| sent_to(router.take(at(3200), arrival(1, 3200)).1).is_some()).count()
+    };
+    assert!(run(true) > run(false));
+}
+
+#[test]
+fn long_reads_go_to_one_replica_and_leave_the_most_advanced_clear() {
+    let mut router = group_of(3, |_| {});
+    served(&mut router, 0, 1, 40, 20);
+    served(&mut router, 3, 1000, 10, 400);
+    for (member, lag) in [(1, 0), (2, 900), (3, 3000)] {
+        probe(&mut router, 9000, 0, 9000, true);
+        probe(&mut router, 9000, member, 9000 - lag, false);
+    }
+    let to = |router: &mut Router, method: u32| sent_to(router.take(at(9001), arrival(method, 9001)).1);
+    assert_eq!(to(&mut router, 3), Some(3));
+    assert_eq!(to(&mut router, 3), Some(3));
+    assert_eq!(to(&mut router, 0), Some(1));
+}
+
+#[test]
+fn an_any_read_takes_a_replica_past_its_first_bound_before_the_primary() {
+    let mut router = group_of(1, |_| {});
+    probe(&mut router, 8000, 0, 8000, true);
+    let (_, decision) = router.take(at(8000), arrival(2, 8000));
+    assert_eq!(sent_to(decision), Some(1));
+}
+
+#[test]
+fn reads_leave_writes_their_place_on_the_primary() {
+    let mut router = group_of(1, |_| {});
+    let ms = 2000;
+    probe(&mut router, ms, 0, ms, true);
+    let reads = (0..20).filter(|_| sent_to(router.take(at(ms), arrival(0, ms)).1).is_some()).count();
+    assert!((1..=3).contains(&reads), "{reads} reads spilled");
+    let (write, decision) = router.take(at(ms), arrival(1, ms));
+    assert_eq!(decision, Decision::Hold, "those that are held come first");
+    let decisions = router.tend(at(ms)).decisions;
+    assert_eq!(decisions.iter().find(|(rpc, _)| *rpc == write).and_then(|(_, d)| sent_to(*d)), Some(0));
+}
+
+#[test]
+fn a_marked_repeat_that_earns_nothing_is_not_held() {
+    let mut router = group_of(1, |_| {});
+    let ms = 2000;
+    probe(&mut router, ms, 0, ms - 1, true);
+    router.list_news(at(ms), ListNews::Changes(&[Entry { standing: Standing::Fading, ..entry(0, true) }]));
+    let mut repeat = arrival(0, ms);
+    repeat.resent = true;
+    assert!(matches!(router.take(at(ms), repeat).1, Decision::PushBack { .. }));
+    assert_eq!(router.take(at(ms), arrival(0, ms)).1, Decision::Hold);
+}
+
+#[test]
+fn the_list_never_undoes_what_a_member_has_shown() {
+    let mut router = group_of(2, |_| {});
+    probe(&mut router, 100, 2, 100, true);
+    router.list_news(at(200), ListNews::Whole(&[entry(0, true), entry(1, false), entry(2, false)]));
+    assert_eq!(sent_to(router.take(at(200), arrival(1, 200)).1), Some(2));
+    // A report from before a claim is no change of role; a later claim wins.
+    probe(&mut router, 210, 2, 50, false);
+    assert_eq!(sent_to(router.take(at(210), arrival(1, 210)).1), Some(2));
+    probe(&mut router, 220, 1, 215, true);
+    assert_eq!(sent_to(router.take(at(220), arrival(1, 220)).1), Some(1));
+}
+
+#[test]
+fn a_failed_list_call_is_made_again_well_within_its_time() {
+    let mut router = group_of(1, |d| d.must_ask = Some(Span::from_millis(10_000)));
+    assert!(router.tend(at(0)).ask_list);
+    router.list_news(at(100), ListNews::Failed);
+    assert!(!router.tend(at(100)).ask_list, "at once would load the service");
+    let asked = (1..50).find(|n| router.tend(at(100 + n * 100)).ask_list);
+    assert!(asked.is_some_and(|n| n <= 40), "asked again after {asked:?} tenths of a second");
+    router.list_news(at(6000), ListNews::Changes(&[]));
+    assert!((0..200).all(|n| !router.tend(at(6000 + n * 100)).ask_list), "a subscription stands");
+}
