--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -37,8 +37,6 @@
 const LONG: f64 = 4.0;
 /// Share of a member's in-flight limit that repeats past their soft deadline may use.
 const REPEAT_SHARE: f64 = 0.25;
-/// A replica whose answers are stretched by more takes no further long reads for being behind.
-const LONG_ROOM: f64 = 1.5;
 /// Answer times spread: this multiple of the expected one must fit.
 const MARGIN: f64 = 1.5;
 /// Seconds of lag that make a difference to long reads.
@@ -190,7 +188,7 @@
                     continue;
                 }
                 let mut load = self.load(now, member);
-                if long && self.stretch(now, member, 8) < LONG_ROOM {
+                if long {
                     load = -self.behind(now, member);
                 }
                 let turn = match long {
