--- a/crates/ladderpass-benchlink/src/lines.rs
+++ b/crates/ladderpass-benchlink/src/lines.rs
@@ -1,7 +1,7 @@
 //! The shape of the wire's lines. Unknown fields are passed over.
 
 use serde::Deserialize;
-use serde_json::{Map, Value};
+use serde_json::Value;
 use std::borrow::Cow;
 
 /// Every event line: each kind uses the fields that the wire gives it.
@@ -35,8 +35,6 @@
     pub due: Option<i64>,
     #[serde(rename = "Key", borrow)]
     pub session: Option<Cow<'a, str>>,
-    #[serde(rename = "Project")]
-    pub tenant: Option<Value>,
     #[serde(rename = "Cluster")]
     pub group: Option<f64>,
     #[serde(rename = "Attempt")]
@@ -61,8 +59,6 @@
 pub struct ListLine<'a> {
     #[serde(rename = "Node", borrow)]
     pub node: Cow<'a, str>,
-    #[serde(rename = "Site", borrow, default)]
-    pub zone: Cow<'a, str>,
     #[serde(rename = "IsPrimary", default)]
     pub primary: Option<f64>,
     #[serde(rename = "Shard")]
@@ -77,35 +73,22 @@
 #[serde(rename_all = "PascalCase")]
 pub struct Info {
     pub allowed: Allowed,
-    #[serde(default)]
-    pub az: String,
-    pub balancers: Option<u32>,
     pub contract: Contract,
     pub extra: Extra,
-    #[serde(default)]
-    pub fees: Map<String, Value>,
-    pub over_share_worth: Option<f64>,
-    #[serde(default)]
-    pub parties: Option<Vec<Party>>,
     pub registry_mode: Option<String>,
     #[serde(default)]
     pub report: ReportShape,
     pub services: Vec<Service>,
     pub tick: Option<i64>,
-    #[serde(default)]
-    pub zones: Vec<String>,
 }
 
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct Allowed {
     pub attempts_cap: Option<u32>,
-    pub cancel: Option<bool>,
-    pub connect_timeout: Option<i64>,
     pub max_retry_after: Option<i64>,
     pub probes: Option<bool>,
     pub retry_after: Option<bool>,
-    pub second_copies: Option<bool>,
 }
 
 #[derive(Deserialize)]
@@ -115,7 +98,6 @@
     pub must_ask_in: Option<i64>,
     pub overload_for: Option<i64>,
     pub soft_removal: Option<bool>,
-    pub tip_multiple: Option<f64>,
     pub warm_within: Option<i64>,
 }
 
@@ -132,13 +114,6 @@
     pub zero: Option<i64>,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-pub struct Party {
-    pub name: String,
-    pub allowance_per_s: Option<f64>,
-}
-
 #[derive(Default, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct ReportShape {
@@ -151,7 +126,6 @@
 pub struct Service {
     pub name: String,
     pub slo: i64,
-    pub give_up: i64,
     pub effect: String,
     pub dedup_scope: Option<String>,
     pub key_ttl: Option<i64>,
--- a/crates/ladderpass-benchlink/src/wire.rs
+++ b/crates/ladderpass-benchlink/src/wire.rs
@@ -29,14 +29,12 @@
     in_batch: bool,
     actions: String,
     methods: HashMap<String, u32>,
-    tenants: HashMap<String, u32>,
     zero: Time,
     told: bool,
     column_position: Option<usize>,
     column_primary: Option<usize>,
     nodes: Interned,
     groups: HashMap<u64, u32>,
-    zones: HashMap<String, u32>,
     sessions: HashMap<String, u32>,
     /// Not yet concluded, or with a call-out still out.
     rpcs: HashMap<String, Held>,
@@ -203,7 +201,6 @@
 fn own(line: &ListLine) -> ListLine<'static> {
     ListLine {
         node: line.node.clone().into_owned().into(),
-        zone: line.zone.clone().into_owned().into(),
         primary: line.primary,
         group: line.group,
         standing: line.standing.clone().into_owned().into(),
@@ -228,27 +225,19 @@
 
 impl Instance {
     fn new(salt: u64, info: &Info, now: Time) -> Result<Instance, Fault> {
-        let zones: HashMap<String, u32> =
-            info.zones.iter().enumerate().map(|(i, z)| (z.clone(), i as u32)).collect();
         let columns = info.report.columns.as_deref().unwrap_or(&[]);
         let column = |name: &str| columns.iter().position(|c| c == name);
-        let mut zones = zones;
-        let zone = name_index(&mut zones, &info.az);
-        let parties = info.parties.as_deref().unwrap_or(&[]);
-        let names = |list: Vec<&String>| list.into_iter().cloned().zip(0..).collect();
         Ok(Instance {
-            router: Router::start(now, salt, deployment(info, zone)?),
+            router: Router::start(now, salt, deployment(info)?),
             in_batch: false,
             actions: String::new(),
-            methods: names(info.services.iter().map(|s| &s.name).collect()),
-            tenants: names(parties.iter().map(|p| &p.name).collect()),
+            methods: info.services.iter().map(|s| s.name.clone()).zip(0..).collect(),
             zero: Time::from_nanos(info.extra.zero.unwrap_or(0)),
             told: info.extra.progress_told.unwrap_or(true),
             column_position: column("x0"),
             column_primary: column("x1"),
             nodes: Interned::default(),
             groups: HashMap::new(),
-            zones,
             sessions: HashMap::new(),
             rpcs: HashMap::new(),
             names: HashMap::new(),
@@ -298,13 +287,11 @@
         if self.rpcs.contains_key(&*id) {
             return Err(format!("RequestId {id:?} was given before"));
         }
-        let tenant = line.tenant.as_ref().and_then(Value::as_str);
         let arrival = Arrival {
             method,
             group: group_index(&mut self.groups, group),
             due,
             resent: line.resent.unwrap_or(false),
-            tenant: tenant.and_then(|name| self.tenants.get(name).copied()),
             session: line.session.as_ref().map(|key| name_index(&mut self.sessions, key)),
             last_write: line
                 .last_write_ms
@@ -395,7 +382,6 @@
             entries.push(Entry {
                 member: self.nodes.intern(&entry.node),
                 group: group_index(&mut self.groups, entry.group),
-                zone: name_index(&mut self.zones, &entry.zone),
                 primary: entry.primary.unwrap_or(0.0) >= 0.5,
                 standing: match &*entry.standing {
                     "on" => Standing::On,
@@ -524,7 +510,7 @@
     Span::from_nanos(nanos.unwrap_or(0))
 }
 
-fn deployment(info: &Info, zone: u32) -> Result<Deployment, Fault> {
+fn deployment(info: &Info) -> Result<Deployment, Fault> {
     let extra = &info.extra;
     let mut methods = Vec::new();
     for (i, service) in info.services.iter().enumerate() {
@@ -549,18 +535,13 @@
                 other => return Err(format!("unknown Effect {other:?}")),
             },
             soft_deadline: span(Some(service.slo)),
-            deadline: span(Some(service.give_up)),
             utility: service.worth.unwrap_or(1.0),
             late: service.late_worth.unwrap_or(0.0),
         });
     }
-    let fee = |name: &str| info.fees.get(name).and_then(Value::as_f64).unwrap_or(0.0);
-    let parties = info.parties.as_deref().unwrap_or(&[]);
     let contract = &info.contract;
     Ok(Deployment {
         methods,
-        allowances: parties.iter().map(|p| p.allowance_per_s.unwrap_or(f64::INFINITY)).collect(),
-        over_share: info.over_share_worth.unwrap_or(1.0),
         checks: match extra.checks.as_deref() {
             None | Some("off") => Checks::Off,
             Some("refuse") => Checks::Refuse,
@@ -579,24 +560,15 @@
             _ => None,
         },
         probes: info.allowed.probes.unwrap_or(false),
-        withdrawals: info.allowed.cancel.unwrap_or(false),
-        second_copies: info.allowed.second_copies.unwrap_or(false),
         callouts_cap: info.allowed.attempts_cap.unwrap_or(1),
         longest_come_back: match info.allowed.retry_after {
             Some(true) => span(info.allowed.max_retry_after),
             _ => Span::ZERO,
         },
-        connect_limit: span(info.allowed.connect_timeout),
         tick: span(info.tick),
         cold_from: contract.cold_from.unwrap_or(1.0),
         warm_within: span(contract.warm_within),
-        tip_multiple: contract.tip_multiple.unwrap_or(f64::INFINITY),
         overload_for: span(contract.overload_for),
         soft_removal: contract.soft_removal.unwrap_or(false),
-        routers: info.balancers.unwrap_or(1),
-        zone,
-        fee_probe: fee("Probe"),
-        fee_crossing: fee("CrossZone"),
-        fee_waste: fee("Waste"),
     })
 }
--- a/crates/ladderpass-core/src/interface.rs
+++ b/crates/ladderpass-core/src/interface.rs
@@ -46,7 +46,6 @@
     pub level: Level,
     pub effect: Effect,
     pub soft_deadline: Span,
-    pub deadline: Span,
     pub utility: f64,
     /// Share of the utility that an answer after the soft deadline still earns.
     pub late: f64,
@@ -72,10 +71,6 @@
 #[derive(Clone, Debug)]
 pub struct Deployment {
     pub methods: Vec<Method>,
-    /// RPCs a second within the share of each tenant, over all routers.
-    pub allowances: Vec<f64>,
-    /// Share of the utility that an RPC beyond its tenant's share earns.
-    pub over_share: f64,
     pub checks: Checks,
     pub role_in_list: RoleInList,
     /// Session reads say themselves how old the session's last write is.
@@ -83,25 +78,15 @@
     /// The list comes only when it is asked for.
     pub must_ask: Option<Span>,
     pub probes: bool,
-    pub withdrawals: bool,
-    /// Two call-outs of one RPC may be out together.
-    pub second_copies: bool,
     pub callouts_cap: u32,
     pub longest_come_back: Span,
-    pub connect_limit: Span,
     /// Least time between two batches of events.
     pub tick: Span,
     pub cold_from: f64,
     pub warm_within: Span,
-    pub tip_multiple: f64,
     pub overload_for: Span,
     /// Only an entry that says `Fading` binds; a member that left the list may still be called.
     pub soft_removal: bool,
-    pub routers: u32,
-    pub zone: u32,
-    pub fee_probe: f64,
-    pub fee_crossing: f64,
-    pub fee_waste: f64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -116,7 +101,6 @@
 pub struct Entry {
     pub member: MemberId,
     pub group: u32,
-    pub zone: u32,
     pub primary: bool,
     pub standing: Standing,
     pub born: Option<Time>,
@@ -140,7 +124,6 @@
     pub due: Time,
     /// The client said that this is a repeat.
     pub resent: bool,
-    pub tenant: Option<u32>,
     pub session: Option<u32>,
     /// Age of the session's last write, where it is carried.
     pub last_write: Option<Span>,
--- a/crates/ladderpass-core/tests/common/mod.rs
+++ b/crates/ladderpass-core/tests/common/mod.rs
@@ -8,14 +8,7 @@
 }
 
 pub fn method(level: Level, effect: Effect) -> Method {
-    Method {
-        level,
-        effect,
-        soft_deadline: Span::from_millis(500),
-        deadline: Span::from_millis(2000),
-        utility: 1.0,
-        late: 0.0,
-    }
+    Method { level, effect, soft_deadline: Span::from_millis(500), utility: 1.0, late: 0.0 }
 }
 
 pub fn deployment() -> Deployment {
@@ -24,34 +17,23 @@
             method(Level::Bounded(Span::from_millis(800)), Effect::Idempotent),
             method(Level::Write, Effect::NonIdempotent),
         ],
-        allowances: vec![],
-        over_share: 1.0,
         checks: Checks::Off,
         role_in_list: RoleInList::Late,
         carried: true,
         must_ask: None,
         probes: true,
-        withdrawals: true,
-        second_copies: false,
         callouts_cap: 6,
         longest_come_back: Span::from_millis(500),
-        connect_limit: Span::from_millis(250),
         tick: Span::from_millis(5),
         cold_from: 0.2,
         warm_within: Span::from_millis(10_000),
-        tip_multiple: 3.0,
         overload_for: Span::from_millis(2000),
         soft_removal: false,
-        routers: 1,
-        zone: 0,
-        fee_probe: 0.01,
-        fee_crossing: 0.0,
-        fee_waste: 0.03,
     }
 }
 
 pub fn entry(member: u32, primary: bool) -> Entry {
-    Entry { member: MemberId(member), group: 0, zone: 0, primary, standing: Standing::On, born: None }
+    Entry { member: MemberId(member), group: 0, primary, standing: Standing::On, born: None }
 }
 
 pub fn probe(router: &mut Router, ms: i64, member: u32, position_ms: i64, primary: bool) {
@@ -60,15 +42,7 @@
 }
 
 pub fn arrival(method: u32, ms: i64) -> Arrival {
-    Arrival {
-        method,
-        group: 0,
-        due: at(ms + 2000),
-        resent: false,
-        tenant: None,
-        session: None,
-        last_write: None,
-    }
+    Arrival { method, group: 0, due: at(ms + 2000), resent: false, session: None, last_write: None }
 }
 
 pub fn sent_to(decision: Decision) -> Option<u32> {
