--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -595,9 +595,14 @@
         let ratio = 1.0 / self.stretch(now, self.member(index), 4).max(1.0);
         let member = self.member_mut(index);
         let wanted = member.limit * ratio + member.limit.sqrt().min(member.limit * 0.5);
-        if wanted < member.limit || (member.in_flight + 1) as f64 * 2.0 > member.limit {
-            member.limit = (member.limit * 0.75 + wanted * 0.25).clamp(LIMIT_LEAST, LIMIT_MOST);
-        }
+        let used = (member.in_flight + 1) as f64;
+        if wanted < member.limit {
+            // Where little is sent, a limit far above it would take long to bind.
+            member.limit = member.limit.min(used * 2.0) * 0.75 + wanted.min(used * 2.0) * 0.25;
+        } else if used * 2.0 > member.limit {
+            member.limit = member.limit * 0.75 + wanted * 0.25;
+        }
+        member.limit = member.limit.clamp(LIMIT_LEAST, LIMIT_MOST);
     }
 
     /// Decides what is held, and says what is due: probes, list calls, the next look.
