--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -266,7 +266,7 @@
             Effect::Tokened { anywhere, .. } => anywhere || state.risked.is_none(),
             Effect::NonIdempotent => state.risked.is_none(),
         };
-        let over = now >= state.taken + method.soft_deadline && method.late == 0.0;
+        let over = now + self.rows[state.arrival.method as usize].usual >= self.wanted_by(rpc);
         let longest = self.deployment.longest_come_back;
         let come_back = if over { longest } else { longest * (0.2 + 0.3 * self.chance.generate::<f64>()) };
         self.rpcs.close(rpc);
