--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -44,7 +44,7 @@
 /// Width of the buckets in which answers and failures are counted.
 const MEASURE: Span = Span::from_millis(500);
 /// A call-out that takes this multiple of the expected time while others are answered was lost.
-const QUICK: f64 = 8.0;
+const LOST: f64 = 12.0;
 const HEADROOM: f64 = 0.9;
 const LIMIT_START: f64 = 4.0;
 const LIMIT_LEAST: f64 = 0.1;
@@ -206,7 +206,7 @@
             && let Some(index) = group.primary
             && self.usable(now, index, rpc)
             && self.member(index).misses == 0
-            && (self.member(index).in_flight as f64) < self.member(index).limit * share
+            && self.in_flight(now, self.member(index)) < self.member(index).limit * share
         {
             picked = Some((0.0, 0.0, index));
         }
@@ -230,7 +230,7 @@
     fn call_out(&mut self, now: Time, rpc: Rpc, index: usize) -> Decision {
         let state = &self.rpcs[rpc];
         let row = &self.rows[state.arrival.method as usize];
-        let usual = row.usual.secs();
+        let (method, usual) = (state.arrival.method, row.usual.secs());
         let group = &mut self.groups[state.arrival.group as usize];
         group.turn = group.members.iter().position(|&m| m == index).map_or(0, |at| at + 1);
         let state = &mut self.rpcs[rpc];
@@ -239,10 +239,10 @@
         state.callouts += 1;
         state.sent = now;
         let member = self.member_mut(index);
-        if member.in_flight == 0 {
+        if member.out.is_empty() {
             member.silent_from = now;
         }
-        member.in_flight += 1;
+        member.out.push((now, method));
         member.sent_at = now;
         member.sent.add(now, usual);
         Decision::CallOut { member: member.id, limit: None }
@@ -304,7 +304,7 @@
     fn usable(&self, now: Time, index: usize, rpc: Rpc) -> bool {
         let member = self.member(index);
         let state = &self.rpcs[rpc];
-        if now + self.expected(now, index, state.arrival.method) * MARGIN >= self.wanted_by(rpc) {
+        if now + self.expected(now, member, state.arrival.method) * MARGIN >= self.wanted_by(rpc) {
             return false;
         }
         member.standing == Standing::On
@@ -326,9 +326,10 @@
         let member = self.member(index);
         let limit = member.limit * share;
         if limit >= 1.0 {
-            return (member.in_flight as f64) < limit;
+            return self.in_flight(now, member) < limit;
         }
-        member.in_flight == 0 && now - member.sent_at >= self.expected(now, index, method) * (1.0 / limit)
+        self.in_flight(now, member) == 0.0
+            && now - member.sent_at >= self.expected(now, member, method) * (1.0 / limit)
     }
 
     /// A replica whose lag nears the bound is crowded: it gets less, so that it can catch up.
@@ -368,17 +369,27 @@
     fn load(&self, now: Time, member: &Member) -> f64 {
         let (failures, _) = member.failures.last(now, 4);
         let usual = self.rows.iter().map(|row| row.usual).min().unwrap_or(Span::ZERO).secs().max(1e-4);
-        let silence = match member.in_flight {
-            0 => 0.0,
-            _ => (now - member.silent_from).secs() / usual,
+        let silence = match member.out.is_empty() {
+            true => 0.0,
+            false => (now - member.silent_from).secs() / usual,
         };
-        member.in_flight as f64 + failures * FAILURE_LOAD + (silence - SILENCE).max(0.0).floor()
+        self.in_flight(now, member) + failures * FAILURE_LOAD + (silence - SILENCE).max(0.0).floor()
+    }
+
+    /// A call-out far past its time, though the member has answered one that was sent later, was lost on the
+    /// way: it says nothing of a jam, and takes no room.
+    fn is_lost(&self, now: Time, member: &Member, sent: Time, method: u32) -> bool {
+        sent < member.answered && now - sent > self.rows[method as usize].usual * LOST
+    }
+
+    fn in_flight(&self, now: Time, member: &Member) -> f64 {
+        member.out.iter().filter(|&&(sent, method)| !self.is_lost(now, member, sent, method)).count() as f64
     }
 
     /// Answer time to expect of it: the method's usual one, stretched as its recent answers were.
-    fn expected(&self, now: Time, index: usize, method: u32) -> Span {
+    fn expected(&self, now: Time, member: &Member, method: u32) -> Span {
         let usual = self.rows[method as usize].usual;
-        usual * self.stretch(now, self.member(index), 4)
+        usual * self.stretch(now, member, 4)
     }
 
     /// Present answer time over the usual one; where few answers tell, those of all members stand in.
@@ -462,8 +473,7 @@
         if self.members[index].is_none() {
             self.groups[group].members.push(index);
             let sent = self.deployment.overload_for.max(MEASURE) * 0.125;
-            self.members[index] =
-                Some(Member::new(entry.member, group, self.rows.len(), LIMIT_START, MEASURE, sent));
+            self.members[index] = Some(Member::new(entry.member, group, LIMIT_START, MEASURE, sent));
         }
         let subtle = self.deployment.soft_removal && entry.standing == Standing::Off;
         let role_told = match self.deployment.role_in_list {
@@ -593,9 +603,10 @@
         member.stretch.add(now, took.secs() / usual.max(1e-6));
         // The limit in flight follows shortest answer time over the present one.
         let ratio = 1.0 / self.stretch(now, self.member(index), 4).max(1.0);
+        let in_flight = self.in_flight(now, self.member(index));
         let member = self.member_mut(index);
         let wanted = member.limit * ratio + member.limit.sqrt().min(member.limit * 0.5);
-        let used = (member.in_flight + 1) as f64;
+        let used = in_flight + 1.0;
         if wanted < member.limit {
             // Where little is sent, a limit far above it would take long to bind.
             member.limit = member.limit.min(used * 2.0) * 0.75 + wanted.min(used * 2.0) * 0.25;
@@ -707,12 +718,12 @@
     pub fn ended(self, router: &mut Router, now: Time, outcome: Outcome) -> Decision {
         let index = outcome.member.0 as usize;
         let Some(state) = router.rpcs.find(self) else { return Decision::Done };
-        let arrival = state.arrival;
+        let (arrival, sent) = (state.arrival, state.sent);
         state.out = state.out.saturating_sub(1);
         state.ended = now;
         state.tried.push(index);
         let over = outcome.complete || !state.live;
-        router.heard(now, index, &outcome, arrival);
+        router.heard(now, index, &outcome, arrival, sent);
         if over {
             router.rpcs.close(self);
             return Decision::Done;
@@ -736,19 +747,17 @@
 
 impl Router {
     /// What the outcome of a call-out tells of the member.
-    fn heard(&mut self, now: Time, index: usize, outcome: &Outcome, arrival: Arrival) {
+    fn heard(&mut self, now: Time, index: usize, outcome: &Outcome, arrival: Arrival, sent: Time) {
         let level = self.rows[arrival.method as usize].method.level;
-        // A call-out that timed out, though the member has answered later ones of its method quickly, was lost
-        // on the way: no sign of a jam.
-        let sent = now - outcome.took;
-        let quick = outcome.took > self.expected(now, index, arrival.method) * QUICK;
+        let member = self.member(index);
+        let lost = outcome.ended == Ended::TimedOut && self.is_lost(now, member, sent, arrival.method);
         let member = self.member_mut(index);
-        let latest = &mut member.answered[arrival.method as usize];
-        let lost = outcome.ended == Ended::TimedOut && *latest > sent && quick;
         if outcome.ended == Ended::Ok {
-            *latest = sent.max(*latest);
+            member.answered = member.answered.max(sent);
+        }
+        if let Some(at) = member.out.iter().position(|&out| out == (sent, arrival.method)) {
+            member.out.swap_remove(at);
         }
-        member.in_flight = member.in_flight.saturating_sub(1);
         let group = member.group;
         match outcome.ended {
             Ended::Ok | Ended::Absent => {
--- a/crates/ladderpass-core/src/state.rs
+++ b/crates/ladderpass-core/src/state.rs
@@ -18,7 +18,8 @@
     /// Age of the position in its last probe, and its lag as last reckoned.
     pub report_age: Option<Span>,
     pub lag: Option<Span>,
-    pub in_flight: u32,
+    /// Call-outs that are out: when they were sent, and their method.
+    pub out: Vec<(Time, u32)>,
     /// Since when nothing was heard while something was in flight.
     pub silent_from: Time,
     pub sent_at: Time,
@@ -27,8 +28,8 @@
     pub probe_sent: Option<Time>,
     pub probed_at: Time,
     pub cold_from: Option<Time>,
-    /// Latest send that it has answered, a place a method.
-    pub answered: Vec<Time>,
+    /// Latest send that it has answered.
+    pub answered: Time,
     pub limit: f64,
     pub failures: Ring<4>,
     pub stretch: Ring<8>,
@@ -74,14 +75,7 @@
 }
 
 impl Member {
-    pub fn new(
-        id: MemberId,
-        group: usize,
-        methods: usize,
-        limit: f64,
-        bucket: Span,
-        sent_bucket: Span,
-    ) -> Member {
+    pub fn new(id: MemberId, group: usize, limit: f64, bucket: Span, sent_bucket: Span) -> Member {
         Member {
             id,
             group,
@@ -92,7 +86,7 @@
             position: Time::NEVER,
             report_age: None,
             lag: None,
-            in_flight: 0,
+            out: Vec::new(),
             silent_from: Time::NEVER,
             sent_at: Time::NEVER,
             misses: 0,
@@ -100,7 +94,7 @@
             probe_sent: None,
             probed_at: Time::NEVER,
             cold_from: None,
-            answered: vec![Time::NEVER; methods],
+            answered: Time::NEVER,
             limit,
             failures: Ring::new(bucket),
             stretch: Ring::new(bucket),
