--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -139,8 +139,11 @@
             (Effect::Tokened { window, .. }, Some(first)) => now - first < window,
             (Effect::NonIdempotent, Some(_)) => false,
         };
-        let out_of_time = now + self.deployment.tick * 2.0 >= state.arrival.due || self.too_late(now, rpc);
-        if !may_run || out_of_time || state.callouts >= self.deployment.callouts_cap {
+        // A call-out made now would end when its answer earns nothing any more, or when the client has gone.
+        let needed = if state.callouts > 0 || state.held { row.usual } else { Span::ZERO };
+        let too_late = now + needed >= self.wanted_by(rpc);
+        let out_of_time = now + self.deployment.tick * 2.0 >= state.arrival.due;
+        if !may_run || too_late || out_of_time || state.callouts >= self.deployment.callouts_cap {
             return self.give_up(now, rpc);
         }
         // A fresh router waits for the first answers; its list may be old.
@@ -166,8 +169,7 @@
         // which stop the log of the replica that holds them, the one that is furthest behind already.
         let passes: &[Time] = match level {
             Level::Fresh | Level::Write => &[],
-            Level::Any if long => &[Time::NEVER],
-            Level::Any => &[now - ANY_BOUND, Time::NEVER],
+            Level::Any if !long => &[now - ANY_BOUND, Time::NEVER],
             _ => &[needs],
         };
         let kept_clear = long.then(|| self.most_advanced(now, group_index)).flatten();
@@ -175,9 +177,7 @@
             if picked.is_some() {
                 break;
             }
-            let count = group.members.len();
-            for step in 0..count {
-                let index = group.members[(group.turn + step) % count];
+            for &index in &group.members {
                 let member = self.member(index);
                 if Some(index) == group.primary
                     || Some(index) == kept_clear
@@ -231,8 +231,6 @@
         let state = &self.rpcs[rpc];
         let row = &self.rows[state.arrival.method as usize];
         let (method, usual) = (state.arrival.method, row.usual.secs());
-        let group = &mut self.groups[state.arrival.group as usize];
-        group.turn = group.members.iter().position(|&m| m == index).map_or(0, |at| at + 1);
         let state = &mut self.rpcs[rpc];
         state.held = false;
         state.out += 1;
@@ -273,14 +271,6 @@
         if harmless { Decision::PushBack { come_back } } else { Decision::Abort }
     }
 
-    /// A call-out made now would end after the answer has lost its utility, or after the client has gone.
-    fn too_late(&self, now: Time, rpc: Rpc) -> bool {
-        let state = &self.rpcs[rpc];
-        let usual = self.rows[state.arrival.method as usize].usual;
-        let expected = if state.callouts > 0 || state.held { usual } else { Span::ZERO };
-        now + expected >= self.wanted_by(rpc)
-    }
-
     /// When an answer stops earning anything.
     fn wanted_by(&self, rpc: Rpc) -> Time {
         let state = &self.rpcs[rpc];
@@ -728,13 +718,11 @@
             router.rpcs.close(self);
             return Decision::Done;
         }
-        match outcome.ended {
-            Ended::Void => return router.give_up(now, self),
-            Ended::Unreachable | Ended::Overloaded | Ended::Absent => {}
-            _ => {
-                let state = &mut router.rpcs[self];
-                state.risked.get_or_insert(state.sent);
-            }
+        if outcome.ended == Ended::Void {
+            return router.give_up(now, self);
+        }
+        if !matches!(outcome.ended, Ended::Unreachable | Ended::Overloaded | Ended::Absent) {
+            router.rpcs[self].risked.get_or_insert(sent);
         }
         router.place(now, self)
     }
--- a/crates/ladderpass-core/src/state.rs
+++ b/crates/ladderpass-core/src/state.rs
@@ -43,7 +43,6 @@
     pub members: Vec<usize>,
     pub primary: Option<usize>,
     pub heard: bool,
-    pub turn: usize,
     pub held: Vec<Rpc>,
     pub shed_at: Time,
 }
