--- a/crates/ladderpass-core/tests/exceptions.rs
+++ b/crates/ladderpass-core/tests/exceptions.rs
@@ -5,7 +5,7 @@
 use common::*;
 use ladderpass_core::*;
 
-/// Two groups of methods: 0 bounded read, 1 write, 2 `any` read, 3 long `any` read.
+/// Methods: 0 bounded read, 1 write, 2 `any` read, 3 long `any` read.
 fn group_of(replicas: u32, change: impl Fn(&mut Deployment)) -> Router {
     let mut deployment = deployment();
     deployment.methods.push(method(Level::Any, Effect::Idempotent));
@@ -223,3 +223,32 @@
     router.list_news(at(6000), ListNews::Changes(&[]));
     assert!((0..200).all(|n| !router.tend(at(6000 + n * 100)).ask_list), "a subscription stands");
 }
+
+#[test]
+fn a_replica_near_its_bound_gets_less() {
+    let sent = |lag: i64| {
+        let mut router = group_of(1, |_| {});
+        probe(&mut router, 1000, 0, 1000, true);
+        probe(&mut router, 1000, 1, 1000 - lag, false);
+        let to = (0..20).map(|_| sent_to(router.take(at(1000), arrival(0, 1000)).1));
+        to.filter(|to| *to == Some(1)).count()
+    };
+    assert!(sent(700) >= 1 && sent(700) < sent(0), "{} near the bound, {} without lag", sent(700), sent(0));
+}
+
+#[test]
+fn nothing_goes_where_the_answer_would_come_too_late() {
+    let mut router = group_of(2, |_| {});
+    served(&mut router, 0, 1, 60, 20);
+    // Both replicas and the primary answer in the time that the method has in all.
+    served(&mut router, 0, 2000, 12, 480);
+    let ms = 2000 + 12 * 481;
+    fresh(&mut router, 4, ms);
+    let (_, decision) = router.take(at(ms), arrival(0, ms));
+    assert_eq!(decision, Decision::Hold);
+    let given_up = router.tend(at(ms + 490)).decisions;
+    assert!(matches!(given_up[0].1, Decision::PushBack { come_back } if come_back == Span::from_millis(500)));
+    // Once the slow answers are forgotten it is tried again.
+    fresh(&mut router, 4, ms + 5000);
+    assert!(sent_to(router.take(at(ms + 5000), arrival(0, ms + 5000)).1).is_some());
+}
