--- a/crates/ladderpass-core/tests/exceptions.rs
+++ b/crates/ladderpass-core/tests/exceptions.rs
@@ -131,24 +131,62 @@
 }
 
 #[test]
-fn lost_call_outs_leave_the_limit_alone() {
-    let run = |overtaken: bool| {
+fn lost_call_outs_take_no_room() {
+    let mut router = group_of(1, |d| d.methods[1].late = 0.5);
+    served(&mut router, 1, 1, 40, 20);
+    fresh(&mut router, 4, 1000);
+    let lost: Vec<Rpc> = (0..3).map(|_| router.take(at(1000), arrival(1, 1000)).0).collect();
+    served(&mut router, 1, 1001, 1, 20);
+    let burst = |router: &mut Router, ms: i64| {
+        fresh(router, 4, ms);
+        (0..9).filter(|_| sent_to(router.take(at(ms), arrival(1, ms)).1).is_some()).count()
+    };
+    assert!(burst(&mut router, 2500) >= 3, "lost call-outs fill the limit");
+    for rpc in lost {
+        assert_eq!(rpc.ended(&mut router, at(2990), outcome(0, Ended::TimedOut, 1990)), Decision::Abort);
+    }
+}
+
+#[test]
+fn being_turned_away_cuts_the_limit() {
+    let room = |turned_away: usize| {
         let mut router = group_of(1, |d| d.methods[1].late = 0.5);
         served(&mut router, 1, 1, 40, 20);
-        let ms = 1000;
-        fresh(&mut router, 4, ms);
-        let lost: Vec<Rpc> = (0..2).map(|_| router.take(at(ms), arrival(1, ms)).0).collect();
-        if overtaken {
-            served(&mut router, 1, 2000, 20, 20);
+        for _ in 0..turned_away {
+            fresh(&mut router, 4, 1000);
+            let (rpc, _) = router.take(at(1000), arrival(1, 1000));
+            rpc.ended(&mut router, at(1000), outcome(0, Ended::Overloaded, 1));
+            rpc.left(&mut router);
+            router.tend(at(1000));
         }
-        for rpc in lost {
-            rpc.ended(&mut router, at(2990), outcome(0, Ended::TimedOut, 1990));
-        }
-        router.tend(at(3100));
-        fresh(&mut router, 4, 3200);
-        (0..20).filter(|_| sent_to(router.take(at(3200), arrival(1, 3200)).1).is_some()).count()
+        fresh(&mut router, 4, 5000);
+        (0..9).filter(|_| sent_to(router.take(at(5000), arrival(1, 5000)).1).is_some()).count()
+    };
+    assert!(room(3) < room(0), "{} after, {} before", room(3), room(0));
+}
+
+#[test]
+fn a_silent_member_does_not_look_least_loaded() {
+    let mut router = group_of(2, |_| {});
+    served(&mut router, 0, 1, 40, 20);
+    fresh(&mut router, 4, 900);
+    let take = |router: &mut Router| {
+        let (rpc, decision) = router.take(at(1500), arrival(0, 1500));
+        (rpc, sent_to(decision))
     };
-    assert!(run(true) > run(false));
+    let first = [0, 1].map(|_| router.take(at(900), arrival(0, 900)));
+    let (heard, member) = first.iter().find_map(|(rpc, d)| Some((*rpc, sent_to(*d)?))).expect("one went out");
+    heard.ended(&mut router, at(1500), outcome(member, Ended::Ok, 20));
+    assert_eq!(take(&mut router).1, Some(member));
+    assert_eq!(take(&mut router).1, Some(member), "one in flight at each, the other silent");
+}
+
+#[test]
+fn a_member_that_turned_an_rpc_away_does_not_get_it_again_at_once() {
+    let mut router = group_of(1, |_| {});
+    let (rpc, decision) = router.take(at(10), arrival(0, 10));
+    assert_eq!(sent_to(decision), Some(1));
+    assert_eq!(sent_to(rpc.ended(&mut router, at(11), outcome(1, Ended::Overloaded, 1))), Some(0));
 }
 
 #[test]
@@ -162,8 +200,8 @@
     }
     let to = |router: &mut Router, method: u32| sent_to(router.take(at(9001), arrival(method, 9001)).1);
     assert_eq!(to(&mut router, 3), Some(3));
-    assert_eq!(to(&mut router, 3), Some(3));
     assert_eq!(to(&mut router, 0), Some(1));
+    assert!((0..20).all(|_| to(&mut router, 3) != Some(1)), "the most advanced stays clear");
 }
 
 #[test]
