--- a/crates/ladderpass-core/tests/exceptions.rs
+++ b/crates/ladderpass-core/tests/exceptions.rs
@@ -290,3 +290,29 @@
     fresh(&mut router, 4, ms + 5000);
     assert!(sent_to(router.take(at(ms + 5000), arrival(0, ms + 5000)).1).is_some());
 }
+
+#[test]
+fn a_slow_machine_gets_fewer_turns() {
+    let mut router = group_of(2, |_| {});
+    let mut got = [0; 3];
+    for n in 0..60 {
+        let ms = 1 + n * 61;
+        fresh(&mut router, 2, ms);
+        let (rpc, decision) = router.take(at(ms), arrival(0, ms));
+        let member = sent_to(decision).expect("nothing else is in flight");
+        got[member as usize] += 1;
+        let took = if member == 1 { 60 } else { 20 };
+        rpc.ended(&mut router, at(ms + took), outcome(member, Ended::Ok, took));
+    }
+    assert!(got[1] * 4 < got[2] * 3, "{got:?}");
+}
+
+#[test]
+fn a_jam_cuts_a_limit_that_is_hardly_used() {
+    let mut router = group_of(1, |d| d.methods[1].late = 0.5);
+    served(&mut router, 1, 1, 40, 20);
+    served(&mut router, 1, 6000, 4, 150);
+    fresh(&mut router, 4, 6700);
+    let burst = (0..9).filter(|_| sent_to(router.take(at(6700), arrival(1, 6700)).1).is_some()).count();
+    assert!(burst <= 2, "{burst} at once into a jam");
+}
