--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -206,7 +206,7 @@
             && let Some(index) = group.primary
             && self.usable(now, index, rpc)
             && self.member(index).misses == 0
-            && self.in_flight(now, self.member(index)) < self.member(index).limit * share
+            && self.in_flight(now, self.member(index)) < self.member(index).limit * share * spare
         {
             picked = Some((0.0, 0.0, index));
         }
