--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -1,10 +1,10 @@
 //! Every decision of ladderpass, and every tuned value.
 //!
-//! How to call it: `Router::start`, then `Router::list_news` with the list as last held. `Router::take` gives a
-//! handle and a first `Decision`; what happens to that RPC later is a call on the handle (`Rpc::ended` for each
-//! call-out's outcome, `Rpc::left` when the client has gone). Probe results go to `Router::probed`. After a batch
-//! of such calls, `Router::tend` once: it decides what is held and says which probes and list calls are due.
-//! The types at the door are in `interface.rs`; the clock is whatever `now` says.
+//! How to call it: `Router::start`, then `Router::list_news` with the list as last held. `Router::take`
+//! gives a handle and a first `Decision`; what happens to that RPC later is a call on the handle
+//! (`Rpc::ended` for each call-out's outcome, `Rpc::left` when the client has gone). Probe results go to
+//! `Router::probed`. After a batch of calls, `Router::tend` once: it decides what is held and says which
+//! probes and list calls are due. The types at the door are in `interface.rs`; the clock is what `now` says.
 
 use crate::interface::*;
 use crate::ring::Ring;
@@ -133,7 +133,7 @@
         let row = &self.rows[state.arrival.method as usize];
         let group_index = state.arrival.group as usize;
         let group = &self.groups[group_index];
-        // No effect twice: also where it was held, or never got through, since the call-out that may have run.
+        // No effect twice: also where it was held, or never got through, since one that may have run.
         let may_run = match (row.method.effect, state.risked) {
             (Effect::Idempotent, _) | (_, None) => true,
             (Effect::Tokened { window, .. }, Some(first)) => now - first < window,
@@ -304,14 +304,14 @@
             && self.warm_enough(now, index, self.rows[state.arrival.method as usize].usual.secs())
     }
 
-    /// Does what it holds reach up to `needs`? Proven by a position told; where members check, reckoned by lag.
+    /// Does what it holds reach up to `needs`? A position told proves it; where members check, lag tells.
     fn current(&self, now: Time, member: &Member, needs: Time) -> bool {
         member.position >= needs
             || self.deployment.checks != Checks::Off && member.lag.is_some_and(|lag| now - lag >= needs)
     }
 
-    /// Is there room within this share of its in-flight limit? Below one, the limit is kept by leaving a member
-    /// idle between call-outs, so that many routers with little traffic each do not jam it together.
+    /// Is there room within this share of its in-flight limit? Below one, the limit is kept by leaving a
+    /// member idle between call-outs, so that many routers with little traffic do not jam it together.
     fn room(&self, now: Time, index: usize, method: u32, share: f64) -> bool {
         let member = self.member(index);
         let limit = member.limit * share;
