Say things once: slot look-up, shortest usual time, interning; dead code out

tend_held looks RPCs up through Slots::find, which already knew a handle that no longer fits; the shortest usual answer time has one function in place of three copies; the adapter interns sessions as it does nodes and drops finished RPCs in one place; Ring::clear and a Result that never failed are gone; the comment on lost call-outs says usual time, as the code does.

--- a/crates/ladderpass-benchlink/src/wire.rs
+++ b/crates/ladderpass-benchlink/src/wire.rs
@@ -35,7 +35,7 @@
     column_primary: Option<usize>,
     nodes: Interned,
     groups: HashMap<u64, u32>,
-    sessions: HashMap<String, u32>,
+    sessions: Interned,
     /// Not yet concluded, or with a call-out still out.
     rpcs: HashMap<String, Held>,
     names: HashMap<Rpc, String>,
@@ -55,14 +55,14 @@
 }
 
 impl Interned {
-    fn intern(&mut self, name: &str) -> MemberId {
+    fn intern(&mut self, name: &str) -> u32 {
         if let Some(&index) = self.index.get(name) {
-            return MemberId(index);
+            return index;
         }
         let index = self.names.len() as u32;
         self.names.push(name.to_owned());
         self.index.insert(name.to_owned(), index);
-        MemberId(index)
+        index
     }
 
     fn known(&self, name: &str) -> Result<MemberId, Fault> {
@@ -135,7 +135,8 @@
                 .ok_or("Salt is not a whole number")?;
             let instance = Instance::new(salt, &need(line.info, "Info")?, now)?;
             self.instances.insert(who.clone(), instance);
-            return self.mark_awake(&who);
+            self.mark_awake(&who);
+            return Ok(());
         }
         let instance =
             self.instances.get_mut(&who).ok_or_else(|| format!("{who} has no CREATE before this"))?;
@@ -148,8 +149,8 @@
         let result = catch_unwind(AssertUnwindSafe(|| instance.event(now, kind, line, lists)));
         match result {
             Ok(done) => {
-                let woken = self.mark_awake(&who);
-                done.and(woken)
+                self.mark_awake(&who);
+                done
             }
             Err(panic) => {
                 self.fail(&who, panic);
@@ -158,14 +159,13 @@
         }
     }
 
-    fn mark_awake(&mut self, who: &str) -> Result<(), Fault> {
+    fn mark_awake(&mut self, who: &str) {
         if let Some(instance) = self.instances.get_mut(who)
             && !instance.in_batch
         {
             instance.in_batch = true;
             self.awake.push(who.to_owned());
         }
-        Ok(())
     }
 
     fn fail(&mut self, who: &str, panic: Box<dyn std::any::Any + Send>) {
@@ -214,15 +214,6 @@
     *groups.entry(number.to_bits()).or_insert(next)
 }
 
-fn name_index(names: &mut HashMap<String, u32>, name: &str) -> u32 {
-    if let Some(&index) = names.get(name) {
-        return index;
-    }
-    let next = names.len() as u32;
-    names.insert(name.to_owned(), next);
-    next
-}
-
 impl Instance {
     fn new(salt: u64, info: &Info, now: Time) -> Result<Instance, Fault> {
         let columns = info.report.columns.as_deref().unwrap_or(&[]);
@@ -238,7 +229,7 @@
             column_primary: column("x1"),
             nodes: Interned::default(),
             groups: HashMap::new(),
-            sessions: HashMap::new(),
+            sessions: Interned::default(),
             rpcs: HashMap::new(),
             names: HashMap::new(),
             timer: None,
@@ -292,7 +283,7 @@
             group: group_index(&mut self.groups, group),
             due,
             resent: line.resent.unwrap_or(false),
-            session: line.session.as_ref().map(|key| name_index(&mut self.sessions, key)),
+            session: line.session.as_ref().map(|key| self.sessions.intern(key)),
             last_write: line
                 .last_write_ms
                 .filter(|&ms| ms > 0.0)
@@ -380,7 +371,7 @@
         let mut entries = Vec::with_capacity(list.len());
         for entry in list {
             entries.push(Entry {
-                member: self.nodes.intern(&entry.node),
+                member: MemberId(self.nodes.intern(&entry.node)),
                 group: group_index(&mut self.groups, entry.group),
                 primary: entry.primary.unwrap_or(0.0) >= 0.5,
                 standing: match &*entry.standing {
@@ -435,7 +426,7 @@
         let id_text = quoted(id);
         let held = self.rpcs.get_mut(id);
         let out = &mut self.actions;
-        let final_answer = match decision {
+        match decision {
             Decision::CallOut { member, limit } => {
                 let node = quoted(self.nodes.name(member));
                 let limit = limit.map_or(0, |span| span.nanos().max(1));
@@ -453,20 +444,16 @@
                 let after = come_back.nanos();
                 let _ =
                     writeln!(out, r#"{{"kind":"NOT_NOW","Who":@,"RequestId":{id_text},"ComeBack":{after}}}"#);
-                true
             }
             Decision::Abort => {
                 let _ = writeln!(out, r#"{{"kind":"FINISH_ERROR","Who":@,"RequestId":{id_text}}}"#);
-                true
             }
-        };
+        }
         if let Some(held) = held {
-            held.ended = final_answer;
-            if held.out == 0 {
-                let id = self.names.remove(&rpc).expect("named above");
-                self.rpcs.remove(&id);
-            }
+            held.ended = true;
         }
+        let id = id.clone();
+        self.drop_if_over(&id);
     }
 
     fn take_actions(&mut self, who: &str) -> String {
--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -43,8 +43,9 @@
 const LAG_STEP: f64 = 0.5;
 /// Width of the buckets in which answers and failures are counted.
 const MEASURE: Span = Span::from_millis(500);
-/// A call-out that takes this multiple of the expected time while others are answered was lost.
+/// A call-out that takes this multiple of the usual time while others are answered was lost.
 const LOST: f64 = 12.0;
+/// Parts of the bound, less its lag, that a replica has for its limit.
 const HEADROOM: f64 = 0.9;
 const LIMIT_START: f64 = 4.0;
 const LIMIT_LEAST: f64 = 0.1;
@@ -114,9 +115,9 @@
         let written =
             if self.deployment.carried { arrival.last_write.map(|age| now - age) } else { remembered };
         let rpc = self.rpcs.open(now, arrival, written.unwrap_or(Time::NEVER));
-        self.reach_group(arrival.group);
+        let group = self.reach_group(arrival.group);
         // Those that are held come first, in their order.
-        let first = self.groups[arrival.group as usize].held.is_empty();
+        let first = self.groups[group].held.is_empty();
         let decision = if first { self.place(now, rpc) } else { self.hold(rpc) };
         (rpc, decision)
     }
@@ -151,6 +152,7 @@
             return self.hold(rpc);
         }
         let level = row.method.level;
+        let primary_only = matches!(level, Level::Fresh | Level::Write);
         let needs = match level {
             Level::Bounded(bound) => now - bound,
             Level::Session => state.written.max(Time::NEVER + Span::from_nanos(1)),
@@ -168,7 +170,7 @@
         // Any data will do: past the bound it starts at, before the primary is asked, and for long reads,
         // which stop the log of the replica that holds them, the one that is furthest behind already.
         let passes: &[Time] = match level {
-            Level::Fresh | Level::Write => &[],
+            _ if primary_only => &[],
             Level::Any if !long => &[now - ANY_BOUND, Time::NEVER],
             _ => &[needs],
         };
@@ -201,7 +203,7 @@
             }
         }
         // The spill, which leaves the writes their place.
-        let share = if matches!(level, Level::Fresh | Level::Write) { 1.0 } else { READ_SHARE };
+        let share = if primary_only { 1.0 } else { READ_SHARE };
         if picked.is_none()
             && let Some(index) = group.primary
             && self.usable(now, index, rpc)
@@ -214,7 +216,7 @@
         if picked.is_none()
             && group.primary.is_none()
             && self.deployment.checks != Checks::Off
-            && !matches!(level, Level::Fresh | Level::Write)
+            && !primary_only
         {
             let unknown = |index: &usize| self.member(*index).lag.is_none() && self.usable(now, *index, rpc);
             let replicas = group.members.iter().copied().filter(unknown);
@@ -348,17 +350,21 @@
         (member.lag.unwrap_or(now - member.position).secs() / LAG_STEP).floor()
     }
 
+    /// The shortest method's usual answer time.
+    fn least_usual(&self) -> Span {
+        self.rows.iter().map(|row| row.usual).min().unwrap_or(Span::ZERO)
+    }
+
     /// Much longer than the other methods' answers.
     fn is_long(&self, method: u32) -> bool {
-        let least = self.rows.iter().map(|row| row.usual).min().unwrap_or(Span::ZERO);
-        self.rows[method as usize].usual > least * LONG
+        self.rows[method as usize].usual > self.least_usual() * LONG
     }
 
     /// In flight, and what recent failures and an unusual silence add to it: a member that fails fast or
     /// stands still must not look idle.
     fn load(&self, now: Time, member: &Member) -> f64 {
         let (failures, _) = member.failures.last(now, 4);
-        let usual = self.rows.iter().map(|row| row.usual).min().unwrap_or(Span::ZERO).secs().max(1e-4);
+        let usual = self.least_usual().secs().max(1e-4);
         let silence = match member.out.is_empty() {
             true => 0.0,
             false => (now - member.silent_from).secs() / usual,
@@ -404,8 +410,7 @@
         };
         let peer = least(true).or_else(|| least(false)).unwrap_or(0.0);
         let sent = self.recently_sent(now, member);
-        let typical = self.rows.iter().map(|row| row.usual.secs()).fold(f64::INFINITY, f64::min);
-        sent + work <= peer * ramp || sent == 0.0 && work <= typical * 2.0
+        sent + work <= peer * ramp || sent == 0.0 && work <= self.least_usual().secs() * 2.0
     }
 
     fn recently_sent(&self, now: Time, member: &Member) -> f64 {
@@ -655,30 +660,27 @@
     /// Held RPCs in the order of utility for the work they cost.
     fn tend_held(&mut self, now: Time, group: usize, upkeep: &mut Upkeep) {
         let mut held = std::mem::take(&mut self.groups[group].held);
-        held.retain(|rpc| {
-            let state = &self.rpcs[*rpc];
-            state.turn == rpc.turn && state.live && state.held
-        });
+        held.retain(|rpc| self.rpcs.find(*rpc).is_some_and(|state| state.held));
         held.sort_by(|a, b| self.density(now, *b).total_cmp(&self.density(now, *a)));
         let mut kept = Vec::new();
-        let mut pushed_back = 0;
+        let mut pushed_back = false;
         for rpc in held {
             match self.place(now, rpc) {
                 Decision::Hold => kept.push(rpc),
                 decision => {
-                    pushed_back += u32::from(matches!(decision, Decision::PushBack { .. }));
+                    pushed_back |= matches!(decision, Decision::PushBack { .. });
                     upkeep.decisions.push((rpc, decision));
                 }
             }
         }
         let state = &mut self.groups[group];
-        if pushed_back > 0 && now - state.shed_at > SHED_OVER {
-            self.notes.push(format!("group {group}: shedding on"));
-        }
-        if pushed_back > 0 {
+        state.held = kept;
+        if pushed_back {
+            if now - state.shed_at > SHED_OVER {
+                self.notes.push(format!("group {group}: shedding on"));
+            }
             state.shed_at = now;
         }
-        self.groups[group].held = kept;
     }
 
     fn density(&self, now: Time, rpc: Rpc) -> f64 {
--- a/crates/ladderpass-core/src/ring.rs
+++ b/crates/ladderpass-core/src/ring.rs
@@ -54,8 +54,4 @@
             .map(|bucket| bucket.sum / bucket.count)
             .reduce(f64::min)
     }
-
-    pub fn clear(&mut self) {
-        *self = Ring::new(self.width);
-    }
 }
--- a/crates/ladderpass-core/tests/exceptions.rs
+++ b/crates/ladderpass-core/tests/exceptions.rs
@@ -170,15 +170,12 @@
     let mut router = group_of(2, |_| {});
     served(&mut router, 0, 1, 40, 20);
     fresh(&mut router, 4, 900);
-    let take = |router: &mut Router| {
-        let (rpc, decision) = router.take(at(1500), arrival(0, 1500));
-        (rpc, sent_to(decision))
-    };
+    let take = |router: &mut Router| sent_to(router.take(at(1500), arrival(0, 1500)).1);
     let first = [0, 1].map(|_| router.take(at(900), arrival(0, 900)));
     let (heard, member) = first.iter().find_map(|(rpc, d)| Some((*rpc, sent_to(*d)?))).expect("one went out");
     heard.ended(&mut router, at(1500), outcome(member, Ended::Ok, 20));
-    assert_eq!(take(&mut router).1, Some(member));
-    assert_eq!(take(&mut router).1, Some(member), "one in flight at each, the other silent");
+    assert_eq!(take(&mut router), Some(member));
+    assert_eq!(take(&mut router), Some(member), "one in flight at each, the other silent");
 }
 
 #[test]
