Ties begin at a place drawn by chance

Cause: a router that has sent nothing lately finds all equal and took the first in member order, the same one in all routers.

--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -39,6 +39,9 @@
 const REPEAT_SHARE: f64 = 0.25;
 /// Answer times spread: this multiple of the expected one must fit.
 const MARGIN: f64 = 1.5;
+/// Turns among equals are drawn by chance within this part of their work: many routers that send little would
+/// all begin with the same member.
+const TURN_SPREAD: f64 = 1.0;
 /// Seconds of lag that make a difference to long reads.
 const LAG_STEP: f64 = 0.5;
 /// Width of the buckets in which answers and failures are counted.
@@ -174,6 +177,7 @@
             Level::Any if !long => &[now - ANY_BOUND, Time::NEVER],
             _ => &[needs],
         };
+        let mut chance = self.chance.clone();
         let kept_clear = long.then(|| self.most_advanced(now, group_index)).flatten();
         for &needs in passes {
             if picked.is_some() {
@@ -195,7 +199,10 @@
                 }
                 let turn = match long {
                     true => 0.0,
-                    false => (self.recently_sent(now, member) + usual) * self.stretch(now, member, 8),
+                    false => {
+                        let chance = 1.0 - TURN_SPREAD / 2.0 + TURN_SPREAD * chance.generate::<f64>();
+                        (self.recently_sent(now, member) + usual) * self.stretch(now, member, 8) * chance
+                    }
                 };
                 if picked.is_none_or(|(least, next, _)| (load, turn) < (least, next)) {
                     picked = Some((load, turn, index));
@@ -222,6 +229,7 @@
             let replicas = group.members.iter().copied().filter(unknown);
             picked = replicas.max_by_key(|&index| self.member(index).position).map(|index| (0.0, 0.0, index));
         }
+        self.chance = chance;
         match picked {
             Some((_, _, index)) => self.call_out(now, rpc, index),
             None if repeat => self.give_up(now, rpc),
