--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -39,7 +39,7 @@
 const REPEAT_SHARE: f64 = 0.25;
 /// Answer times spread: this multiple of the expected one must fit.
 const MARGIN: f64 = 1.5;
-/// Turns among equals are drawn by chance within this part of their work: many routers that send little would
+/// Turns among equals are drawn by chance within this part of one RPC: many routers that send little would
 /// all begin with the same member.
 const TURN_SPREAD: f64 = 1.0;
 /// Seconds of lag that make a difference to long reads.
@@ -200,8 +200,8 @@
                 let turn = match long {
                     true => 0.0,
                     false => {
-                        let chance = 1.0 - TURN_SPREAD / 2.0 + TURN_SPREAD * chance.generate::<f64>();
-                        (self.recently_sent(now, member) + usual) * self.stretch(now, member, 8) * chance
+                        let next = usual * (1.0 - TURN_SPREAD / 2.0 + TURN_SPREAD * chance.generate::<f64>());
+                        (self.recently_sent(now, member) + next) * self.stretch(now, member, 8)
                     }
                 };
                 if picked.is_none_or(|(least, next, _)| (load, turn) < (least, next)) {
--- a/crates/ladderpass-core/tests/exceptions.rs
+++ b/crates/ladderpass-core/tests/exceptions.rs
@@ -313,3 +313,15 @@
     let burst = (0..9).filter(|_| sent_to(router.take(at(6700), arrival(1, 6700)).1).is_some()).count();
     assert!(burst <= 2, "{burst} at once into a jam");
 }
+
+#[test]
+fn routers_that_send_little_do_not_all_begin_with_the_same_member() {
+    let mut got = [0; 4];
+    for seed in 0..60 {
+        let mut router = Router::start(at(0), seed, deployment());
+        router.list_news(at(0), ListNews::Remembered(&[0, 1, 2, 3].map(|m| entry(m, m == 0))));
+        fresh(&mut router, 3, 0);
+        got[sent_to(router.take(at(1), arrival(0, 1)).1).expect("all are fresh") as usize] += 1;
+    }
+    assert!(got[0] == 0 && got[1..].iter().all(|&n| n > 8), "{got:?}");
+}
