Probes follow what a router sends; a read without news waits for a probe of its picks

Cause: every router probed every member each second (or within 0.6 of the smallest bound): 10 to 60 probes an RPC at full size. Periodic rounds now stay within 0.2 probes an RPC (1 s to 30 s a round); a read that no replica passes for want of news is held while two of its next picks are probed, a round trip, and a lagging replica is asked again when it may have caught up. Also guards against members that stand still (they don't answer the probe) and against probe storms at start; can harm where probes are slow: 60 ms of waiting at most for each pair of silent replicas.

--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -12,13 +12,24 @@
 use crate::time::{Span, Time};
 use nanorand::{Rng, WyRand};
 
+/// Periodic probes: every member in turn, at most this often; a router that sends little takes longer, so that
+/// the probes of many routers stay within this share of their RPCs.
 const PROBE_EVERY: Span = Span::from_millis(1000);
-/// While a group's primary is in doubt.
+const PROBE_SHARE: f64 = 0.2;
+const PROBE_SLOWEST: Span = Span::from_millis(30_000);
+/// A member that missed is probed again after this long, and twice as long each time up to its eightfold.
+const PROBE_MISSED: Span = Span::from_millis(500);
+/// A read that lacks news of the replicas is held while this many of them are probed, for this long.
+const ASKED: usize = 2;
+const ASK_WAIT: Span = Span::from_millis(60);
+/// What a replica told of its lag counts for this long, and a lag past the bound for this part of the excess.
+const NEWS_AGE: Span = Span::from_millis(2000);
+const CATCH_UP: f64 = 0.5;
+const CATCH_UP_LEAST: Span = Span::from_millis(250);
+/// While RPCs wait for a group's primary.
 const PROBE_IN_DOUBT: Span = Span::from_millis(200);
 /// A probe that has told nothing for this long is taken for lost.
 const PROBE_LOST: Span = Span::from_millis(1500);
-/// Where replicas do not check, a position is refreshed within this part of the smallest bound.
-const REFRESH_PART: f64 = 0.6;
 /// Probes and connects failed in a row before a member is left out.
 const MISSES_TO_DROP: u32 = 3;
 /// Staleness that reads without a bound start at.
@@ -74,7 +85,9 @@
     groups: Vec<Group>,
     rpcs: Slots,
     sessions: Vec<Time>,
-    refresh_within: Span,
+    /// RPCs taken, and when the next probe is due.
+    taken: Ring<8>,
+    probes_at: Time,
     ask_at: Option<Time>,
     ask_failures: u32,
     notes: Vec<String>,
@@ -83,17 +96,14 @@
 
 impl Router {
     pub fn start(now: Time, seed: u64, deployment: Deployment) -> Router {
-        let bounds = deployment.methods.iter().filter_map(|m| match m.level {
-            Level::Bounded(bound) if deployment.checks == Checks::Off => Some(bound),
-            _ => None,
-        });
         Router {
-            refresh_within: bounds.min().map_or(PROBE_EVERY, |b| PROBE_EVERY.min(b * REFRESH_PART)),
+            taken: Ring::new(MEASURE),
+            probes_at: now,
             rows: deployment
                 .methods
                 .iter()
                 .map(|method| Row {
-                    usual: method.soft_deadline * 0.2,
+                    usual: method.soft_deadline * SOFT_PART,
                     method: method.clone(),
                     answers: Ring::new(Span::from_millis(5000)),
                 })
@@ -117,6 +127,7 @@
         let remembered = arrival.session.and_then(|s| self.sessions.get(s as usize).copied());
         let written =
             if self.deployment.carried { arrival.last_write.map(|age| now - age) } else { remembered };
+        self.taken.add(now, 1.0);
         let rpc = self.rpcs.open(now, arrival, written.unwrap_or(Time::NEVER));
         let group = self.reach_group(arrival.group);
         // Those that are held come first, in their order.
@@ -152,6 +163,7 @@
         }
         // A fresh router waits for the first answers; its list may be old.
         if !group.heard && self.deployment.probes && now - self.started < FIRST_ANSWERS {
+            (0..group.members.len()).for_each(|nth| self.ask(now, self.groups[group_index].members[nth]));
             return self.hold(rpc);
         }
         let level = row.method.level;
@@ -178,6 +190,8 @@
             _ => &[needs],
         };
         let mut chance = self.chance.clone();
+        // Replicas that no news speaks for or against, and those that are being asked.
+        let (mut unsure, mut asked): (Vec<(f64, usize)>, usize) = (Vec::new(), 0);
         let kept_clear = long.then(|| self.most_advanced(now, group_index)).flatten();
         for &needs in passes {
             if picked.is_some() {
@@ -185,14 +199,23 @@
             }
             for &index in &group.members {
                 let member = self.member(index);
-                if Some(index) == group.primary
-                    || Some(index) == kept_clear
-                    || !self.usable(now, index, rpc)
-                    || !self.current(now, member, needs)
-                    || !self.room(now, index, state.arrival.method, spare * self.headroom(now, member, needs))
+                if Some(index) == group.primary || Some(index) == kept_clear || !self.usable(now, index, rpc)
                 {
                     continue;
                 }
+                if !self.current(now, member, needs) {
+                    match member.probe_sent {
+                        Some(sent) => asked += usize::from(now - sent < ASK_WAIT),
+                        None if self.may_have_caught_up(now, member, needs) => {
+                            unsure.push((self.load(now, member) + chance.generate::<f64>(), index));
+                        }
+                        None => {}
+                    }
+                    continue;
+                }
+                if !self.room(now, index, state.arrival.method, spare * self.headroom(now, member, needs)) {
+                    continue;
+                }
                 let mut load = self.load(now, member);
                 if long {
                     load = -self.behind(now, member);
@@ -209,8 +232,26 @@
                 }
             }
         }
+        // No news yet: the read waits for that of its next picks, a round trip, before the primary is asked.
+        if picked.is_none() && self.deployment.probes && !primary_only && unsure.len() + asked > 0 {
+            unsure.sort_by(|a, b| a.0.total_cmp(&b.0));
+            let more = ASKED.saturating_sub(asked);
+            unsure.iter().take(more).for_each(|&(_, index)| self.ask(now, index));
+            self.chance = chance;
+            return self.hold(rpc);
+        }
+        // Replicas seem to lag by their reports alone: is it the reports that are late?
+        if picked.is_none()
+            && self.deployment.checks != Checks::Off
+            && !primary_only
+            && let Some(index) = group.primary
+            && now - self.member(index).told_at.max(self.member(index).probed_at) > NEWS_AGE
+        {
+            self.ask(now, index);
+        }
         // The spill, which leaves the writes their place.
         let share = if primary_only { 1.0 } else { READ_SHARE };
+        let group = &self.groups[group_index];
         if picked.is_none()
             && let Some(index) = group.primary
             && self.usable(now, index, rpc)
@@ -237,6 +278,12 @@
         }
     }
 
+    /// A probe of it is due now.
+    fn ask(&mut self, now: Time, index: usize) {
+        self.member_mut(index).probe_at = now;
+        self.probes_at = self.probes_at.min(now);
+    }
+
     fn call_out(&mut self, now: Time, rpc: Rpc, index: usize) -> Decision {
         let state = &self.rpcs[rpc];
         let row = &self.rows[state.arrival.method as usize];
@@ -317,7 +364,19 @@
     /// Does what it holds reach up to `needs`? A position told proves it; where members check, lag tells.
     fn current(&self, now: Time, member: &Member, needs: Time) -> bool {
         member.position >= needs
-            || self.deployment.checks != Checks::Off && member.lag.is_some_and(|lag| now - lag >= needs)
+            || self.deployment.checks != Checks::Off
+                && (now - member.told_at < NEWS_AGE || !self.deployment.probes)
+                && member.lag.is_some_and(|lag| now - lag >= needs)
+    }
+
+    /// Its last news is old, or told of a lag that it may have made up since.
+    fn may_have_caught_up(&self, now: Time, member: &Member, needs: Time) -> bool {
+        let lag = match self.deployment.checks {
+            Checks::Off => Some(member.told_at - member.position),
+            _ => member.lag,
+        };
+        let excess = lag.map_or(CATCH_UP_LEAST, |lag| lag - (now - needs));
+        excess <= Span::ZERO || now - member.told_at >= CATCH_UP_LEAST.max(excess * CATCH_UP)
     }
 
     /// Is there room within this share of its in-flight limit? Below one, the limit is kept by leaving a
@@ -476,7 +535,10 @@
         if self.members[index].is_none() {
             self.groups[group].members.push(index);
             let sent = self.deployment.overload_for.max(MEASURE) * 0.125;
-            self.members[index] = Some(Member::new(entry.member, group, LIMIT_START, MEASURE, sent));
+            let mut member = Member::new(entry.member, group, LIMIT_START, MEASURE, sent);
+            member.probe_at = now + self.probe_every(now) * self.chance.generate::<f64>();
+            self.probes_at = self.probes_at.min(member.probe_at);
+            self.members[index] = Some(member);
         }
         let subtle = self.deployment.soft_removal && entry.standing == Standing::Off;
         let role_told = match self.deployment.role_in_list {
@@ -544,12 +606,21 @@
         self.groups[group].heard = true;
         if let Some(position) = report.position {
             let age = now - position;
-            let primary_age = self.groups[group].primary.and_then(|p| self.member(p).report_age);
-            let member = self.member_mut(index);
-            member.report_age = Some(age);
-            member.lag = primary_age.map(|primary| (age - primary).max(Span::ZERO));
+            self.member_mut(index).report_age = Some(age);
+            let primary = self.groups[group].primary;
+            // Reports may be late: the primary's, which stands at the present, shows by how much.
+            let late = primary.map(|p| self.member(p).report_age.unwrap_or(Span::ZERO));
+            for nth in 0..self.groups[group].members.len() {
+                let other = self.groups[group].members[nth];
+                if other == index || primary == Some(index) && now - self.member(other).told_at < NEWS_AGE {
+                    let member = self.member_mut(other);
+                    member.lag =
+                        member.report_age.and_then(|age| late.map(|late| (age - late).max(Span::ZERO)));
+                }
+            }
             self.told_position(now, index, position);
         }
+        self.member_mut(index).told_at = now;
         match (report.primary, report.position) {
             // A position never goes back: one from before the claim is an old report, not a change of role.
             (Some(true), at) => self.shown(index, Role::Primary, at.unwrap_or(now - took)),
@@ -561,8 +632,12 @@
     }
 
     fn told_position(&mut self, now: Time, index: usize, position: Time) {
+        let every = self.probe_every(now) * (0.75 + 0.5 * self.chance.generate::<f64>());
         let member = self.member_mut(index);
         member.position = member.position.max(position);
+        member.told_at = now;
+        // An answer that has just told its position saves a probe.
+        member.probe_at = member.probe_at.max(now + every);
         if let Some(lag) = member.lag {
             member.lag = Some(lag.min(now - member.position));
         }
@@ -588,6 +663,10 @@
             member.miss_from = now;
         }
         member.misses += 1;
+        member.probe_at = now + PROBE_MISSED * f64::from(1 << (member.misses - 1).min(3));
+        let probe_at = member.probe_at;
+        self.probes_at = self.probes_at.min(probe_at);
+        let member = self.member_mut(index);
         if member.misses == MISSES_TO_DROP {
             self.notes.push(format!("#{index} is left out: {MISSES_TO_DROP} misses in a row"));
         }
@@ -630,27 +709,10 @@
             }
         }
         if self.deployment.probes {
-            for index in 0..self.members.len() {
-                let Some(member) = &self.members[index] else { continue };
-                if member.standing == Standing::Off {
-                    continue;
-                }
-                if member.probe_sent.is_some_and(|sent| now - sent > PROBE_LOST) {
-                    self.member_mut(index).probe_sent = None;
-                    self.missed(now, index);
-                }
-                let due = self.probe_due(now, index);
-                let member = self.member_mut(index);
-                if member.probe_sent.is_some() {
-                    wake = wake.min(now + PROBE_LOST);
-                } else if due <= now {
-                    member.probe_sent = Some(now);
-                    member.probed_at = now;
-                    upkeep.probes.push(member.id);
-                } else {
-                    wake = wake.min(due);
-                }
+            if self.probes_at <= now {
+                self.tend_probes(now, &mut upkeep);
             }
+            wake = wake.min(self.probes_at);
         }
         if let Some(at) = self.ask_at {
             if at <= now {
@@ -668,6 +730,17 @@
     /// Held RPCs in the order of utility for the work they cost.
     fn tend_held(&mut self, now: Time, group: usize, upkeep: &mut Upkeep) {
         let mut held = std::mem::take(&mut self.groups[group].held);
+        if held.is_empty() {
+            return;
+        }
+        if self.groups[group].primary.is_none_or(|p| self.member(p).misses > 0) {
+            for nth in 0..self.groups[group].members.len() {
+                let index = self.groups[group].members[nth];
+                if now - self.member(index).probed_at >= PROBE_IN_DOUBT {
+                    self.ask(now, index);
+                }
+            }
+        }
         held.retain(|rpc| self.rpcs.find(*rpc).is_some_and(|state| state.held));
         held.sort_by(|a, b| self.density(now, *b).total_cmp(&self.density(now, *a)));
         let mut kept = Vec::new();
@@ -698,18 +771,39 @@
         row.method.utility * if late { row.method.late } else { 1.0 } / row.usual.secs().max(1e-6)
     }
 
-    fn probe_due(&self, now: Time, index: usize) -> Time {
-        let member = self.member(index);
-        let group = &self.groups[member.group];
-        let doubt = group.primary.is_none_or(|p| self.member(p).misses > 0);
-        let every = match doubt {
-            true => PROBE_IN_DOUBT,
-            false if Some(index) == group.primary => PROBE_EVERY,
-            false => self.refresh_within,
-        };
-        // An answer that has just told its position saves a probe.
-        let told = if now - member.position < self.refresh_within { member.position } else { Time::NEVER };
-        member.probed_at.max(told) + every
+    /// How long a round of periodic probes takes.
+    fn probe_every(&self, now: Time) -> Span {
+        let (taken, _) = self.taken.last(now, 8);
+        let probes = taken / (MEASURE.secs() * 8.0) * PROBE_SHARE;
+        let round = Span::from_secs_f64(self.members.len() as f64 / probes.max(1e-3));
+        round.max(PROBE_EVERY).min(PROBE_SLOWEST)
+    }
+
+    fn tend_probes(&mut self, now: Time, upkeep: &mut Upkeep) {
+        let every = self.probe_every(now);
+        self.probes_at = now + PROBE_EVERY;
+        for index in 0..self.members.len() {
+            let Some(member) = &mut self.members[index] else { continue };
+            if member.standing == Standing::Off {
+                continue;
+            }
+            if member.probe_sent.is_some_and(|sent| now - sent > PROBE_LOST) {
+                member.probe_sent = None;
+                self.missed(now, index);
+            }
+            let spread = 0.75 + 0.5 * self.chance.generate::<f64>();
+            let member = self.member_mut(index);
+            // The round may have become shorter since.
+            member.probe_at = member.probe_at.min(member.probed_at.max(member.told_at) + every * spread);
+            if member.probe_sent.is_none() && member.probe_at <= now {
+                member.probe_sent = Some(now);
+                member.probed_at = now;
+                member.probe_at = now + every * spread;
+                upkeep.probes.push(member.id);
+            }
+            let next = member.probe_sent.map_or(member.probe_at, |sent| sent + PROBE_LOST);
+            self.probes_at = self.probes_at.min(next);
+        }
     }
 }
 
@@ -805,7 +899,8 @@
             && let Level::Bounded(bound) = level
         {
             let member = self.member_mut(index);
-            member.lag = member.lag.map(|lag| lag.max(bound + Span::from_millis(1)));
+            member.lag = Some(member.lag.unwrap_or(bound).max(bound + Span::from_millis(1)));
+            member.told_at = now;
         }
     }
 }
--- a/crates/ladderpass-core/src/state.rs
+++ b/crates/ladderpass-core/src/state.rs
@@ -27,6 +27,9 @@
     pub miss_from: Time,
     pub probe_sent: Option<Time>,
     pub probed_at: Time,
+    pub probe_at: Time,
+    /// When it last told how far it is.
+    pub told_at: Time,
     pub cold_from: Option<Time>,
     /// Latest send that it has answered.
     pub answered: Time,
@@ -92,6 +95,8 @@
             miss_from: Time::NEVER,
             probe_sent: None,
             probed_at: Time::NEVER,
+            probe_at: Time::NEVER,
+            told_at: Time::NEVER,
             cold_from: None,
             answered: Time::NEVER,
             limit,
--- a/crates/ladderpass-core/tests/exceptions.rs
+++ b/crates/ladderpass-core/tests/exceptions.rs
@@ -214,6 +214,7 @@
     let mut router = group_of(1, |_| {});
     let ms = 2000;
     probe(&mut router, ms, 0, ms, true);
+    probe(&mut router, ms, 1, 0, false);
     let reads = (0..20).filter(|_| sent_to(router.take(at(ms), arrival(0, ms)).1).is_some()).count();
     assert!((1..=3).contains(&reads), "{reads} reads spilled");
     let (write, decision) = router.take(at(ms), arrival(1, ms));
@@ -227,6 +228,7 @@
     let mut router = group_of(1, |_| {});
     let ms = 2000;
     probe(&mut router, ms, 0, ms - 1, true);
+    probe(&mut router, ms, 1, 0, false);
     router.list_news(at(ms), ListNews::Changes(&[Entry { standing: Standing::Fading, ..entry(0, true) }]));
     let mut repeat = arrival(0, ms);
     repeat.resent = true;
@@ -325,3 +327,38 @@
     }
     assert!(got[0] == 0 && got[1..].iter().all(|&n| n > 8), "{got:?}");
 }
+
+#[test]
+fn a_read_without_news_waits_for_a_probe_of_its_next_picks() {
+    let mut router = group_of(4, |_| {});
+    router.tend(at(4000));
+    let (rpc, decision) = router.take(at(5000), arrival(0, 5000));
+    assert_eq!(decision, Decision::Hold);
+    let asked = router.tend(at(5000)).probes;
+    assert_eq!(asked.len(), 2, "two of four replicas");
+    probe(&mut router, 5001, asked[1].0, 5000, false);
+    let decisions = router.tend(at(5001)).decisions;
+    assert_eq!(decisions, [(rpc, Decision::CallOut { member: asked[1], limit: None })]);
+}
+
+#[test]
+fn probes_follow_what_a_router_sends() {
+    let probes = |every: i64| {
+        let mut router = group_of(4, |d| d.methods[1].late = 0.5);
+        let mut count = 0;
+        for ms in (10..40_000).step_by(10) {
+            if ms % every == 0 {
+                let (rpc, decision) = router.take(at(ms), arrival(1, ms));
+                if sent_to(decision).is_some() {
+                    rpc.ended(&mut router, at(ms), outcome(0, Ended::Ok, 5));
+                }
+            }
+            let asked = router.tend(at(ms)).probes;
+            count += asked.len();
+            asked.iter().for_each(|id| probe(&mut router, ms, id.0, ms, id.0 == 0));
+        }
+        count
+    };
+    let (busy, idle) = (probes(10), probes(5000));
+    assert!(busy > 100 && idle > 0 && idle < 20, "{busy} when busy, {idle} when idle");
+}
