--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -26,8 +26,8 @@
 const NEWS_AGE: Span = Span::from_millis(2000);
 const CATCH_UP: f64 = 0.5;
 const CATCH_UP_LEAST: Span = Span::from_millis(250);
-/// While RPCs wait for a group's primary.
-const PROBE_IN_DOUBT: Span = Span::from_millis(200);
+/// A member is asked at most this often.
+const PROBE_AGAIN: Span = Span::from_millis(200);
 /// A probe that has told nothing for this long is taken for lost.
 const PROBE_LOST: Span = Span::from_millis(1500);
 /// Probes and connects failed in a row before a member is left out.
@@ -163,7 +163,10 @@
         }
         // A fresh router waits for the first answers; its list may be old.
         if !group.heard && self.deployment.probes && now - self.started < FIRST_ANSWERS {
-            (0..group.members.len()).for_each(|nth| self.ask(now, self.groups[group_index].members[nth]));
+            let from = self.chance.generate_range(0..group.members.len().max(1));
+            let asked = group.members.iter().cycle().skip(from).copied();
+            let asked: Vec<usize> = asked.take(ASKED.min(group.members.len())).collect();
+            asked.into_iter().chain(group.primary).for_each(|index| self.ask(now, index));
             return self.hold(rpc);
         }
         let level = row.method.level;
@@ -280,8 +283,13 @@
 
     /// A probe of it is due now.
     fn ask(&mut self, now: Time, index: usize) {
-        self.member_mut(index).probe_at = now;
-        self.probes_at = self.probes_at.min(now);
+        let member = self.member_mut(index);
+        if member.probe_sent.is_none() {
+            // Not more often than it can have news, nor than it can bear where all routers ask.
+            member.probe_at = member.probe_at.min(now.max(member.probed_at + PROBE_AGAIN));
+            let at = member.probe_at;
+            self.probes_at = self.probes_at.min(at);
+        }
     }
 
     fn call_out(&mut self, now: Time, rpc: Rpc, index: usize) -> Decision {
@@ -597,9 +605,12 @@
             return;
         }
         self.member_mut(index).probe_sent = None;
+        // Turned away: it is there, and has more probes than it takes.
+        if ended == Ended::Overloaded {
+            return self.answered(now, index);
+        }
         if ended != Ended::Ok {
-            self.missed(now, index);
-            return;
+            return self.missed(now, index);
         }
         self.answered(now, index);
         let group = self.member(index).group;
@@ -736,9 +747,7 @@
         if self.groups[group].primary.is_none_or(|p| self.member(p).misses > 0) {
             for nth in 0..self.groups[group].members.len() {
                 let index = self.groups[group].members[nth];
-                if now - self.member(index).probed_at >= PROBE_IN_DOUBT {
-                    self.ask(now, index);
-                }
+                self.ask(now, index);
             }
         }
         held.retain(|rpc| self.rpcs.find(*rpc).is_some_and(|state| state.held));
--- a/crates/ladderpass-core/tests/plain.rs
+++ b/crates/ladderpass-core/tests/plain.rs
@@ -30,6 +30,8 @@
     for _ in 0..4 {
         assert_eq!(sent_to(router.take(at(10), arrival(0, 10)).1), Some(1));
     }
+    probe(&mut router, 900, 1, 50, false);
+    probe(&mut router, 900, 2, -2000, false);
     assert_eq!(sent_to(router.take(at(900), arrival(0, 900)).1), Some(0));
 }
 
