Waiting RPCs told by probes are evidence of others' load

A primary whose report is older than 2 s is asked before a write, one with RPCs waiting gets nothing until it may have drained.

--- a/crates/ladderpass-benchlink/src/wire.rs
+++ b/crates/ladderpass-benchlink/src/wire.rs
@@ -33,6 +33,7 @@
     told: bool,
     column_position: Option<usize>,
     column_primary: Option<usize>,
+    column_waiting: Option<usize>,
     nodes: Interned,
     groups: HashMap<u64, u32>,
     sessions: Interned,
@@ -229,6 +230,7 @@
             told: info.extra.progress_told.unwrap_or(true),
             column_position: column("x0"),
             column_primary: column("x1"),
+            column_waiting: column("q"),
             nodes: Interned::default(),
             groups: HashMap::new(),
             sessions: Interned::default(),
@@ -355,6 +357,7 @@
         let report = Report {
             position: cell(self.column_position).map(|secs| self.zero + Span::from_secs_f64(secs)),
             primary: cell(self.column_primary).map(|flag| flag >= 0.5),
+            waiting: cell(self.column_waiting),
         };
         self.router.probed(now, member, ended, took, report);
         Ok(())
--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -26,6 +26,10 @@
 const NEWS_AGE: Span = Span::from_millis(2000);
 const CATCH_UP: f64 = 0.5;
 const CATCH_UP_LEAST: Span = Span::from_millis(250);
+/// RPCs waiting at a member, by its report, past which it gets no more, and the part of an answer time after
+/// which each has left the queue.
+const WAITING: f64 = 0.5;
+const DRAIN: f64 = 0.25;
 /// A member is asked at most this often.
 const PROBE_AGAIN: Span = Span::from_millis(200);
 /// A probe that has told nothing for this long is taken for lost.
@@ -216,7 +220,9 @@
                     }
                     continue;
                 }
-                if !self.room(now, index, state.arrival.method, spare * self.headroom(now, member, needs)) {
+                if self.crowded(now, member) == Some(true)
+                    || !self.room(now, index, state.arrival.method, spare * self.headroom(now, member, needs))
+                {
                     continue;
                 }
                 let mut load = self.load(now, member);
@@ -261,16 +267,24 @@
             && self.member(index).misses == 0
             && self.in_flight(now, self.member(index)) < self.member(index).limit * share * spare
         {
-            picked = Some((0.0, 0.0, index));
+            match self.crowded(now, self.member(index)) {
+                Some(true) => self.ask(now, index),
+                // All routers that write load it, and each sees its own few answers only: it is asked first.
+                None if self.member(index).probe_sent.is_none_or(|sent| now - sent < ASK_WAIT) => {
+                    self.ask(now, index);
+                    return self.hold(rpc);
+                }
+                _ => picked = Some((0.0, 0.0, index)),
+            }
         }
         // No primary, and no lag is known for want of one: where members check, the most advanced replica.
         if picked.is_none()
-            && group.primary.is_none()
+            && self.groups[group_index].primary.is_none()
             && self.deployment.checks != Checks::Off
             && !primary_only
         {
             let unknown = |index: &usize| self.member(*index).lag.is_none() && self.usable(now, *index, rpc);
-            let replicas = group.members.iter().copied().filter(unknown);
+            let replicas = self.groups[group_index].members.iter().copied().filter(unknown);
             picked = replicas.max_by_key(|&index| self.member(index).position).map(|index| (0.0, 0.0, index));
         }
         self.chance = chance;
@@ -283,10 +297,11 @@
 
     /// A probe of it is due now.
     fn ask(&mut self, now: Time, index: usize) {
+        // Not more often than it can have news, nor than it can bear where all routers ask.
+        let drained = self.least_usual() * (self.member(index).waiting.unwrap_or(0.0) * DRAIN);
         let member = self.member_mut(index);
         if member.probe_sent.is_none() {
-            // Not more often than it can have news, nor than it can bear where all routers ask.
-            member.probe_at = member.probe_at.min(now.max(member.probed_at + PROBE_AGAIN));
+            member.probe_at = member.probe_at.min(now.max(member.probed_at + PROBE_AGAIN.max(drained)));
             let at = member.probe_at;
             self.probes_at = self.probes_at.min(at);
         }
@@ -399,6 +414,12 @@
             && now - member.sent_at >= self.expected(now, member, method) * (1.0 / limit)
     }
 
+    /// Do others make RPCs wait there, by its last report? None where that is too old to tell.
+    fn crowded(&self, now: Time, member: &Member) -> Option<bool> {
+        let Some(waiting) = member.waiting else { return Some(false) };
+        (now - member.told_at < NEWS_AGE).then_some(waiting > WAITING)
+    }
+
     /// A replica whose lag nears the bound is crowded: it gets less, so that it can catch up.
     fn headroom(&self, now: Time, member: &Member, needs: Time) -> f64 {
         let part = member.lag.map_or(0.0, |lag| lag.secs() / (now - needs).secs().max(1e-6));
@@ -631,7 +652,9 @@
             }
             self.told_position(now, index, position);
         }
-        self.member_mut(index).told_at = now;
+        let member = self.member_mut(index);
+        member.told_at = now;
+        member.waiting = report.waiting;
         match (report.primary, report.position) {
             // A position never goes back: one from before the claim is an old report, not a change of role.
             (Some(true), at) => self.shown(index, Role::Primary, at.unwrap_or(now - took)),
--- a/crates/ladderpass-core/src/interface.rs
+++ b/crates/ladderpass-core/src/interface.rs
@@ -171,6 +171,8 @@
 pub struct Report {
     pub position: Option<Time>,
     pub primary: Option<bool>,
+    /// RPCs that wait to be begun.
+    pub waiting: Option<f64>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/ladderpass-core/src/state.rs
+++ b/crates/ladderpass-core/src/state.rs
@@ -30,6 +30,8 @@
     pub probe_at: Time,
     /// When it last told how far it is.
     pub told_at: Time,
+    /// RPCs that waited there, by its last report.
+    pub waiting: Option<f64>,
     pub cold_from: Option<Time>,
     /// Latest send that it has answered.
     pub answered: Time,
@@ -97,6 +99,7 @@
             probed_at: Time::NEVER,
             probe_at: Time::NEVER,
             told_at: Time::NEVER,
+            waiting: None,
             cold_from: None,
             answered: Time::NEVER,
             limit,
--- a/crates/ladderpass-core/tests/common/mod.rs
+++ b/crates/ladderpass-core/tests/common/mod.rs
@@ -37,7 +37,7 @@
 }
 
 pub fn probe(router: &mut Router, ms: i64, member: u32, position_ms: i64, primary: bool) {
-    let report = Report { position: Some(at(position_ms)), primary: Some(primary) };
+    let report = Report { position: Some(at(position_ms)), primary: Some(primary), waiting: None };
     router.probed(at(ms), MemberId(member), Ended::Ok, Span::from_millis(1), report);
 }
 
--- a/crates/ladderpass-core/tests/rules.rs
+++ b/crates/ladderpass-core/tests/rules.rs
@@ -215,7 +215,8 @@
                 self.replica[index] = false;
             }
         }
-        let report = Report { position, primary };
+        let waiting = [None, Some(0.0), Some(5.0)][self.below(3) as usize];
+        let report = Report { position, primary, waiting };
         self.router.probed(self.now, MemberId(member), ended, Span::from_millis(1), report);
     }
 
