Chance lets RPCs in past a stretch of 3, and into cold members along their ramp

Cause: with hundreds of routers of one RPC in flight each, neither an in-flight limit nor a share of a peer's sends binds. Each RPC draws its luck once; past a stretch of 3 a member takes only the lucky part, falling with the square of the stretch; a cold member is in the pick for the part its ramp allows, a cold primary for twice that.

--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -65,6 +65,9 @@
 const LOST: f64 = 12.0;
 /// Parts of the bound, less its lag, that a replica has for its limit.
 const HEADROOM: f64 = 0.9;
+/// Past this stretch of answers a member gets only a part of the RPCs, by the chance of each: where hundreds of
+/// routers have one in flight each, no limit on what is in flight binds.
+const CALM: f64 = 3.0;
 const LIMIT_START: f64 = 4.0;
 const LIMIT_LEAST: f64 = 0.1;
 /// What a member that turns work away leaves of its limit.
@@ -74,6 +77,8 @@
 const LIMIT_MOST: f64 = 200.0;
 /// Out of contact for this long, a member is taken to have started anew.
 const LONG_GONE: Span = Span::from_millis(1000);
+/// What a cold primary gets of the writes, as a multiple of its ramp.
+const COLD_WRITES: f64 = 2.0;
 /// Held RPCs are looked at again at least this often.
 const HELD_EVERY: Span = Span::from_millis(10);
 /// Evidence of a role younger than this outweighs the list.
@@ -133,6 +138,7 @@
             if self.deployment.carried { arrival.last_write.map(|age| now - age) } else { remembered };
         self.taken.add(now, 1.0);
         let rpc = self.rpcs.open(now, arrival, written.unwrap_or(Time::NEVER));
+        self.rpcs[rpc].luck = self.chance.generate();
         let group = self.reach_group(arrival.group);
         // Those that are held come first, in their order.
         let first = self.groups[group].held.is_empty();
@@ -221,7 +227,7 @@
                     continue;
                 }
                 if self.crowded(now, member) == Some(true)
-                    || !self.room(now, index, state.arrival.method, spare * self.headroom(now, member, needs))
+                    || !self.room(now, index, rpc, spare * self.headroom(now, member, needs))
                 {
                     continue;
                 }
@@ -233,7 +239,8 @@
                     true => 0.0,
                     false => {
                         let next = usual * (1.0 - TURN_SPREAD / 2.0 + TURN_SPREAD * chance.generate::<f64>());
-                        (self.recently_sent(now, member) + next) * self.stretch(now, member, 8)
+                        let part = self.ramp(now, member).unwrap_or(1.0);
+                        (self.recently_sent(now, member) / part + next) * self.stretch(now, member, 8)
                     }
                 };
                 if picked.is_none_or(|(least, next, _)| (load, turn) < (least, next)) {
@@ -265,7 +272,7 @@
             && let Some(index) = group.primary
             && self.usable(now, index, rpc)
             && self.member(index).misses == 0
-            && self.in_flight(now, self.member(index)) < self.member(index).limit * share * spare
+            && self.room(now, index, rpc, share * spare)
         {
             match self.crowded(now, self.member(index)) {
                 Some(true) => self.ask(now, index),
@@ -381,7 +388,7 @@
             && member.misses < MISSES_TO_DROP
             && !(state.tried.contains(&index)
                 && now - state.ended < self.rows[state.arrival.method as usize].usual)
-            && self.warm_enough(now, index, self.rows[state.arrival.method as usize].usual.secs())
+            && self.warm_enough(now, index, rpc)
     }
 
     /// Does what it holds reach up to `needs`? A position told proves it; where members check, lag tells.
@@ -404,9 +411,14 @@
 
     /// Is there room within this share of its in-flight limit? Below one, the limit is kept by leaving a
     /// member idle between call-outs, so that many routers with little traffic do not jam it together.
-    fn room(&self, now: Time, index: usize, method: u32, share: f64) -> bool {
+    fn room(&self, now: Time, index: usize, rpc: Rpc, share: f64) -> bool {
+        let method = self.rpcs[rpc].arrival.method;
         let member = self.member(index);
         let limit = member.limit * share;
+        let calm = (CALM / self.stretch(now, member, 4)).powi(2);
+        if self.rpcs[rpc].luck > calm {
+            return false;
+        }
         if limit >= 1.0 {
             return self.in_flight(now, member) < limit;
         }
@@ -491,22 +503,20 @@
         (sum + 3.0 * (total + 4.0) / (all + 3.0)) / (count + 3.0)
     }
 
-    /// A cold member gets of what this router sends a warm peer no more than a ramp over its warm-up allows:
-    /// if each router keeps that, so does their sum, however unequal they are.
-    fn warm_enough(&self, now: Time, index: usize, work: f64) -> bool {
-        let member = self.member(index);
-        let Some(ramp) = self.ramp(now, member) else { return true };
-        let warm = |other: &&Member| {
-            other.standing == Standing::On && other.misses == 0 && self.ramp(now, other).is_none()
-        };
-        let least = |same_group: bool| {
-            let peers = self.members.iter().flatten();
-            let peers = peers.filter(|other| !same_group || other.group == member.group).filter(warm);
-            peers.map(|other| self.recently_sent(now, other)).reduce(f64::min)
-        };
-        let peer = least(true).or_else(|| least(false)).unwrap_or(0.0);
-        let sent = self.recently_sent(now, member);
-        sent + work <= peer * ramp || sent == 0.0 && work <= self.least_usual().secs() * 2.0
+    /// A cold member is in the pick for a part of the RPCs only, a ramp over its warm-up. If each router keeps
+    /// that, so does their sum, whatever traffic they have and however many members are cold. Writes have
+    /// nowhere else to go: a cold primary gets twice that part.
+    fn warm_enough(&self, now: Time, index: usize, rpc: Rpc) -> bool {
+        let Some(ramp) = self.ramp(now, self.member(index)) else { return true };
+        let state = &self.rpcs[rpc];
+        let primary_only = matches!(self.level(state.arrival.method), Level::Fresh | Level::Write);
+        // The same chance for an RPC at each look, another one for each member.
+        let luck = (state.luck + index as f64 * 0.618) % 1.0;
+        luck < if primary_only { ramp * COLD_WRITES } else { ramp }
+    }
+
+    fn level(&self, method: u32) -> Level {
+        self.rows[method as usize].method.level
     }
 
     fn recently_sent(&self, now: Time, member: &Member) -> f64 {
--- a/crates/ladderpass-core/src/state.rs
+++ b/crates/ladderpass-core/src/state.rs
@@ -68,6 +68,8 @@
     pub held: bool,
     pub out: u32,
     pub callouts: u32,
+    /// Drawn once, from 0 to 1: the smaller, the sooner it goes where only a part may.
+    pub luck: f64,
     pub sent: Time,
     pub ended: Time,
     /// Send of the first call-out that may have run.
@@ -127,6 +129,7 @@
             held: false,
             out: 0,
             callouts: 0,
+            luck: 0.0,
             sent: now,
             ended: now,
             risked: None,
