What waited for a new cold primary is let go over the time in which it could fall over

Symptom: a member fell over 3.5 s after its start, 0.9 s after its group named it primary, sent 3.5 times what it could do in 1.5 s.

--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -512,7 +512,10 @@
         let primary_only = matches!(self.level(state.arrival.method), Level::Fresh | Level::Write);
         // The same chance for an RPC at each look, another one for each member.
         let luck = (state.luck + index as f64 * 0.618) % 1.0;
-        luck < if primary_only { ramp * COLD_WRITES } else { ramp }
+        // What waited for a new primary does not come all at once.
+        let since = now - self.groups[state.arrival.group as usize].primary_at;
+        let part = (since.secs() / self.deployment.overload_for.secs().max(1e-3)).min(1.0);
+        luck < if primary_only { ramp * COLD_WRITES * part } else { ramp }
     }
 
     fn level(&self, method: u32) -> Level {
@@ -561,7 +564,7 @@
             }
         }
         for group in 0..self.groups.len() {
-            self.find_primary(group);
+            self.find_primary(now, group);
         }
     }
 
@@ -599,7 +602,7 @@
     }
 
     /// A member has shown its role: of two claims to be the primary the later wins.
-    fn shown(&mut self, index: usize, role: Role, at: Time) {
+    fn shown(&mut self, now: Time, index: usize, role: Role, at: Time) {
         let member = self.member_mut(index);
         match role {
             Role::Primary => member.claim = member.claim.max(at),
@@ -609,11 +612,11 @@
             }
         }
         let group = member.group;
-        self.find_primary(group);
+        self.find_primary(now, group);
     }
 
     /// The member last called primary by the best evidence: its own word first, else the list's.
-    fn find_primary(&mut self, group: usize) {
+    fn find_primary(&mut self, now: Time, group: usize) {
         let claim = |&&index: &&usize| {
             let member = self.member(index);
             member.standing == Standing::On && (member.claim > member.replica_at || member.named)
@@ -622,6 +625,7 @@
         let best = best.copied();
         if best != self.groups[group].primary {
             self.groups[group].primary = best;
+            self.groups[group].primary_at = now;
             self.notes.push(match best {
                 Some(index) => format!("group {group}: primary is #{index}"),
                 None => format!("group {group}: no primary"),
@@ -667,9 +671,9 @@
         member.waiting = report.waiting;
         match (report.primary, report.position) {
             // A position never goes back: one from before the claim is an old report, not a change of role.
-            (Some(true), at) => self.shown(index, Role::Primary, at.unwrap_or(now - took)),
+            (Some(true), at) => self.shown(now, index, Role::Primary, at.unwrap_or(now - took)),
             (Some(false), at) if at.is_none_or(|at| at >= self.member(index).claim) => {
-                self.shown(index, Role::Replica, at.unwrap_or(now - took));
+                self.shown(now, index, Role::Replica, at.unwrap_or(now - took));
             }
             _ => {}
         }
@@ -932,9 +936,9 @@
         }
         match outcome.role {
             Some(Role::Primary) => {
-                self.shown(index, Role::Primary, outcome.position.unwrap_or(now - outcome.took));
+                self.shown(now, index, Role::Primary, outcome.position.unwrap_or(now - outcome.took));
             }
-            Some(Role::Replica) => self.shown(index, Role::Replica, now),
+            Some(Role::Replica) => self.shown(now, index, Role::Replica, now),
             None => {}
         }
         if outcome.ended == Ended::Absent
--- a/crates/ladderpass-core/src/state.rs
+++ b/crates/ladderpass-core/src/state.rs
@@ -47,6 +47,8 @@
 pub struct Group {
     pub members: Vec<usize>,
     pub primary: Option<usize>,
+    /// Since when it is.
+    pub primary_at: Time,
     pub heard: bool,
     pub held: Vec<Rpc>,
     pub shed_at: Time,
--- a/crates/ladderpass-core/tests/exceptions.rs
+++ b/crates/ladderpass-core/tests/exceptions.rs
@@ -362,3 +362,16 @@
     let (busy, idle) = (probes(10), probes(5000));
     assert!(busy > 100 && idle > 0 && idle < 20, "{busy} when busy, {idle} when idle");
 }
+
+#[test]
+fn what_waited_for_a_cold_primary_does_not_come_all_at_once() {
+    let mut router = group_of(2, |d| d.methods[1].late = 0.5);
+    router.list_news(at(1000), ListNews::Changes(&[Entry { standing: Standing::Fading, ..entry(0, false) }]));
+    let mut cold = entry(1, false);
+    cold.born = Some(at(1000));
+    router.list_news(at(1000), ListNews::Changes(&[cold]));
+    (0..60).for_each(|_| assert_eq!(router.take(at(1000), arrival(1, 1000)).1, Decision::Hold));
+    probe(&mut router, 1500, 1, 1500, true);
+    let first = router.tend(at(1500)).decisions.iter().filter(|(_, d)| sent_to(*d).is_some()).count();
+    assert!(first <= 2, "{first} of 60 writes at once");
+}
