--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -381,7 +381,9 @@
     fn usable(&self, now: Time, index: usize, rpc: Rpc) -> bool {
         let member = self.member(index);
         let state = &self.rpcs[rpc];
-        if now + self.expected(now, member, state.arrival.method) * MARGIN >= self.wanted_by(rpc) {
+        let (count, sum) = member.stretch.last(now, 4);
+        let own = (sum + 3.0) / (count + 3.0);
+        if now + self.rows[state.arrival.method as usize].usual * (own * MARGIN) >= self.wanted_by(rpc) {
             return false;
         }
         member.standing == Standing::On
