Reads that need nothing start at a bound of 30 s, and wait for no news

Cause: a replica that holds a long read stops its log and passed the bound of 5 s; the rest of the group took all its reads.

--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -37,7 +37,7 @@
 /// Probes and connects failed in a row before a member is left out.
 const MISSES_TO_DROP: u32 = 3;
 /// Staleness that reads without a bound start at.
-const ANY_BOUND: Span = Span::from_millis(5000);
+const ANY_BOUND: Span = Span::from_millis(30_000);
 /// How long a fresh router holds RPCs for the first answers.
 const FIRST_ANSWERS: Span = Span::from_millis(300);
 /// A failed call-out weighs in the pick like this many in flight, for as long as its ring reaches back.
@@ -195,57 +195,50 @@
             state.arrival.resent && row.method.late == 0.0 && row.method.effect == Effect::Idempotent;
         let spare = if repeat { REPEAT_SHARE } else { 1.0 };
         let long = level == Level::Any && self.is_long(state.arrival.method);
-        // Any data will do: past the bound it starts at, before the primary is asked, and for long reads,
-        // which stop the log of the replica that holds them, the one that is furthest behind already.
-        let passes: &[Time] = match level {
-            _ if primary_only => &[],
-            Level::Any if !long => &[now - ANY_BOUND, Time::NEVER],
-            _ => &[needs],
-        };
         let mut chance = self.chance.clone();
         // Replicas that no news speaks for or against, and those that are being asked.
         let (mut unsure, mut asked): (Vec<(f64, usize)>, usize) = (Vec::new(), 0);
         let kept_clear = long.then(|| self.most_advanced(now, group_index)).flatten();
-        for &needs in passes {
-            if picked.is_some() {
-                break;
+        for &index in if primary_only { &[][..] } else { &group.members } {
+            let member = self.member(index);
+            if Some(index) == group.primary || Some(index) == kept_clear || !self.usable(now, index, rpc) {
+                continue;
             }
-            for &index in &group.members {
-                let member = self.member(index);
-                if Some(index) == group.primary || Some(index) == kept_clear || !self.usable(now, index, rpc)
-                {
-                    continue;
-                }
-                if !self.current(now, member, needs) {
-                    match member.probe_sent {
-                        Some(sent) => asked += usize::from(now - sent < ASK_WAIT),
-                        None if self.may_have_caught_up(now, member, needs) => {
-                            unsure.push((self.load(now, member) + chance.generate::<f64>(), index));
-                        }
-                        None => {}
+            // Any data will do, within reason: only a lag that was told leaves one out. Long reads, which stop
+            // the log of the replica that holds them, take the one that is furthest behind already.
+            let passes = match level {
+                Level::Any => long || member.lag.is_none_or(|lag| lag < ANY_BOUND),
+                _ => self.current(now, member, needs),
+            };
+            if !passes {
+                match member.probe_sent {
+                    Some(sent) => asked += usize::from(now - sent < ASK_WAIT),
+                    None if level != Level::Any && self.may_have_caught_up(now, member, needs) => {
+                        unsure.push((self.load(now, member) + chance.generate::<f64>(), index));
                     }
-                    continue;
+                    None => {}
                 }
-                if self.crowded(now, member) == Some(true)
-                    || !self.room(now, index, rpc, spare * self.headroom(now, member, needs))
-                {
-                    continue;
-                }
-                let mut load = self.load(now, member);
-                if long {
-                    load = -self.behind(now, member);
-                }
-                let turn = match long {
-                    true => 0.0,
-                    false => {
-                        let next = usual * (1.0 - TURN_SPREAD / 2.0 + TURN_SPREAD * chance.generate::<f64>());
-                        let part = self.ramp(now, member).unwrap_or(1.0);
-                        (self.recently_sent(now, member) / part + next) * self.stretch(now, member, 8)
-                    }
-                };
-                if picked.is_none_or(|(least, next, _)| (load, turn) < (least, next)) {
-                    picked = Some((load, turn, index));
+                continue;
+            }
+            if self.crowded(now, member) == Some(true)
+                || !self.room(now, index, rpc, spare * self.headroom(now, member, needs))
+            {
+                continue;
+            }
+            let mut load = self.load(now, member);
+            if long {
+                load = -self.behind(now, member);
+            }
+            let turn = match long {
+                true => 0.0,
+                false => {
+                    let next = usual * (1.0 - TURN_SPREAD / 2.0 + TURN_SPREAD * chance.generate::<f64>());
+                    let part = self.ramp(now, member).unwrap_or(1.0);
+                    (self.recently_sent(now, member) / part + next) * self.stretch(now, member, 8)
                 }
+            };
+            if picked.is_none_or(|(least, next, _)| (load, turn) < (least, next)) {
+                picked = Some((load, turn, index));
             }
         }
         // No news yet: the read waits for that of its next picks, a round trip, before the primary is asked.
@@ -256,15 +249,6 @@
             self.chance = chance;
             return self.hold(rpc);
         }
-        // Replicas seem to lag by their reports alone: is it the reports that are late?
-        if picked.is_none()
-            && self.deployment.checks != Checks::Off
-            && !primary_only
-            && let Some(index) = group.primary
-            && now - self.member(index).told_at.max(self.member(index).probed_at) > NEWS_AGE
-        {
-            self.ask(now, index);
-        }
         // The spill, which leaves the writes their place.
         let share = if primary_only { 1.0 } else { READ_SHARE };
         let group = &self.groups[group_index];
