Limits start at 1, marked repeats get a tenth of them, one replica is asked

Cause: 380 routers that may each put four RPCs on a member before they know anything add up to a jam, and clients that leave and ask again at once double the load. Can harm: a first burst after a start finds little room.

--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -8,34 +8,33 @@
 
 use crate::interface::*;
 use crate::ring::Ring;
-use crate::state::{Group, Member, Row, Slots};
+use crate::state::{Fleet, Member, Row, Sessions, Slots};
 use crate::time::{Span, Time};
 use nanorand::{Rng, WyRand};
 
-/// Periodic probes: every member in turn, at most this often; a router that sends little takes longer, so that
-/// the probes of many routers stay within this share of their RPCs.
+/// Periodic probes: a round at most this often, slower so that they stay within this share of the RPCs taken.
 const PROBE_EVERY: Span = Span::from_millis(1000);
 const PROBE_SHARE: f64 = 0.2;
 const PROBE_SLOWEST: Span = Span::from_millis(30_000);
 /// A member that missed is probed again after this long, and twice as long each time up to its eightfold.
 const PROBE_MISSED: Span = Span::from_millis(500);
-/// A read that lacks news of the replicas is held while this many of them are probed, for this long.
-const ASKED: usize = 2;
+/// A member is asked at most this often.
+const PROBE_AGAIN: Span = Span::from_millis(200);
+/// A probe that has told nothing for this long is taken for lost.
+const PROBE_LOST: Span = Span::from_millis(1500);
+/// A read that lacks news of the replicas is held while its next pick is probed, for this long.
 const ASK_WAIT: Span = Span::from_millis(60);
-/// What a replica told of its lag counts for this long, and a lag past the bound for this part of the excess.
+/// What a probe told counts for this long; a lag past the bound for this part of the excess, and this long.
 const NEWS_AGE: Span = Span::from_millis(2000);
 const CATCH_UP: f64 = 0.5;
 const CATCH_UP_LEAST: Span = Span::from_millis(250);
-/// RPCs waiting at a member, by its report, past which it gets no more, and the part of an answer time after
-/// which each has left the queue.
+/// RPCs waiting at a member past which it gets no more; each leaves in this part of an answer time.
 const WAITING: f64 = 0.5;
 const DRAIN: f64 = 0.25;
-/// A member is asked at most this often.
-const PROBE_AGAIN: Span = Span::from_millis(200);
-/// A probe that has told nothing for this long is taken for lost.
-const PROBE_LOST: Span = Span::from_millis(1500);
 /// Probes and connects failed in a row before a member is left out.
 const MISSES_TO_DROP: u32 = 3;
+/// Out of contact for this long, a member is taken to have started anew.
+const LONG_GONE: Span = Span::from_millis(1000);
 /// Staleness that reads without a bound start at.
 const ANY_BOUND: Span = Span::from_millis(30_000);
 /// How long a fresh router holds RPCs for the first answers.
@@ -46,43 +45,44 @@
 const SILENCE: f64 = 3.0;
 /// Share of the primary's in-flight limit that reads may use.
 const READ_SHARE: f64 = 0.3;
-/// No pushback for this long: shedding is over.
-const SHED_OVER: Span = Span::from_millis(3000);
+/// Share of a member's in-flight limit that marked repeats may use.
+const REPEAT_SHARE: f64 = 0.1;
 /// A method is long from this multiple of the shortest one's answer time.
 const LONG: f64 = 4.0;
-/// Share of a member's in-flight limit that repeats past their soft deadline may use.
-const REPEAT_SHARE: f64 = 0.25;
-/// Answer times spread: this multiple of the expected one must fit.
-const MARGIN: f64 = 1.5;
-/// Turns among equals are drawn by chance within this part of one RPC: many routers that send little would
-/// all begin with the same member.
-const TURN_SPREAD: f64 = 1.0;
 /// Seconds of lag that make a difference to long reads.
 const LAG_STEP: f64 = 0.5;
+/// Turns among equals are drawn by chance within this part of one RPC.
+const TURN_SPREAD: f64 = 1.0;
+/// Answer times spread: this multiple of the expected one must fit.
+const MARGIN: f64 = 1.5;
 /// Width of the buckets in which answers and failures are counted.
 const MEASURE: Span = Span::from_millis(500);
 /// A call-out that takes this multiple of the usual time while others are answered was lost.
 const LOST: f64 = 12.0;
 /// Parts of the bound, less its lag, that a replica has for its limit.
 const HEADROOM: f64 = 0.9;
-/// Past this stretch of answers a member gets only a part of the RPCs, by the chance of each: where hundreds of
-/// routers have one in flight each, no limit on what is in flight binds.
+/// Past this stretch of answers a member gets only a part of the RPCs, by the chance of each.
 const CALM: f64 = 3.0;
-const LIMIT_START: f64 = 4.0;
+const LIMIT_START: f64 = 1.0;
 const LIMIT_LEAST: f64 = 0.1;
+const LIMIT_MOST: f64 = 200.0;
 /// What a member that turns work away leaves of its limit.
 const LIMIT_CUT: f64 = 0.65;
 /// The shortest answer time is taken to be no more than this part of the soft deadline.
 const SOFT_PART: f64 = 0.2;
-const LIMIT_MOST: f64 = 200.0;
-/// Out of contact for this long, a member is taken to have started anew.
-const LONG_GONE: Span = Span::from_millis(1000);
 /// What a cold primary gets of the writes, as a multiple of its ramp.
 const COLD_WRITES: f64 = 2.0;
 /// Held RPCs are looked at again at least this often.
 const HELD_EVERY: Span = Span::from_millis(10);
+/// Part of the longest time to come back that is named while an answer could still earn something, and spread.
+const COME_BACK: f64 = 0.2;
+const COME_BACK_SPREAD: f64 = 0.3;
 /// Evidence of a role younger than this outweighs the list.
 const LIST_LAG: Span = Span::from_millis(10_000);
+/// A failed list call is made again after this long, doubled up to the sixteenfold; the next one within these
+/// parts of the time in which one is due.
+const LIST_AGAIN: Span = Span::from_millis(500);
+const LIST_DUE: f64 = 0.4;
 
 /// A router: what one instance knows, and nothing that it shares.
 pub struct Router {
@@ -90,10 +90,9 @@
     rows: Vec<Row>,
     started: Time,
     chance: WyRand,
-    members: Vec<Option<Member>>,
-    groups: Vec<Group>,
+    fleet: Fleet,
     rpcs: Slots,
-    sessions: Vec<Time>,
+    sessions: Sessions,
     /// RPCs taken, and when the next probe is due.
     taken: Ring<8>,
     probes_at: Time,
@@ -121,10 +120,9 @@
             deployment,
             started: now,
             chance: WyRand::new_seed(seed),
-            members: Vec::new(),
-            groups: Vec::new(),
+            fleet: Fleet::default(),
             rpcs: Slots::default(),
-            sessions: Vec::new(),
+            sessions: Sessions::default(),
             ask_failures: 0,
             notes: Vec::new(),
             stretch: Ring::new(MEASURE),
@@ -133,31 +131,24 @@
 
     /// Takes an RPC: from here on it is owed one final answer.
     pub fn take(&mut self, now: Time, arrival: Arrival) -> (Rpc, Decision) {
-        let remembered = arrival.session.and_then(|s| self.sessions.get(s as usize).copied());
-        let written =
-            if self.deployment.carried { arrival.last_write.map(|age| now - age) } else { remembered };
+        let written = match self.deployment.carried {
+            true => arrival.last_write.map_or(Time::NEVER, |age| now - age),
+            false => self.sessions.written(arrival.session),
+        };
         self.taken.add(now, 1.0);
-        let rpc = self.rpcs.open(now, arrival, written.unwrap_or(Time::NEVER));
-        self.rpcs[rpc].luck = self.chance.generate();
-        let group = self.reach_group(arrival.group);
+        let rpc = self.rpcs.open(now, arrival, written, self.chance.generate());
         // Those that are held come first, in their order.
-        let first = self.groups[group].held.is_empty();
+        let first = self.fleet.reach_group(arrival.group).held.is_empty();
         let decision = if first { self.place(now, rpc) } else { self.hold(rpc) };
         (rpc, decision)
     }
 
-    fn reach_group(&mut self, group: u32) -> usize {
-        let group = group as usize;
-        self.groups.resize_with(self.groups.len().max(group + 1), Group::default);
-        group
-    }
-
     /// The ordinary path of an RPC: who may serve it, who of these has least in flight, else the primary.
     fn place(&mut self, now: Time, rpc: Rpc) -> Decision {
         let state = &self.rpcs[rpc];
         let row = &self.rows[state.arrival.method as usize];
         let group_index = state.arrival.group as usize;
-        let group = &self.groups[group_index];
+        let group = &self.fleet.groups[group_index];
         // No effect twice: also where it was held, or never got through, since one that may have run.
         let may_run = match (row.method.effect, state.risked) {
             (Effect::Idempotent, _) | (_, None) => true,
@@ -173,10 +164,7 @@
         }
         // A fresh router waits for the first answers; its list may be old.
         if !group.heard && self.deployment.probes && now - self.started < FIRST_ANSWERS {
-            let from = self.chance.generate_range(0..group.members.len().max(1));
-            let asked = group.members.iter().cycle().skip(from).copied();
-            let asked: Vec<usize> = asked.take(ASKED.min(group.members.len())).collect();
-            asked.into_iter().chain(group.primary).for_each(|index| self.ask(now, index));
+            self.ask_all(now, group_index);
             return self.hold(rpc);
         }
         let level = row.method.level;
@@ -188,19 +176,17 @@
         };
         // The filter and the pick: fewest in flight among the replicas that pass, ties in turn.
         let mut picked: Option<(f64, f64, usize)> = None;
-        let usual = row.usual.secs();
-        // A repeat of a read that earns nothing late: its first try was held until there was no hope in time,
-        // so it gets what is idle and no more.
-        let repeat =
-            state.arrival.resent && row.method.late == 0.0 && row.method.effect == Effect::Idempotent;
+        // A marked repeat that may run again: it competes with first tries, of which more are still wanted, so it
+        // gets what is idle and no more.
+        let repeat = state.arrival.resent && row.method.effect == Effect::Idempotent;
         let spare = if repeat { REPEAT_SHARE } else { 1.0 };
         let long = level == Level::Any && self.is_long(state.arrival.method);
         let mut chance = self.chance.clone();
-        // Replicas that no news speaks for or against, and those that are being asked.
-        let (mut unsure, mut asked): (Vec<(f64, usize)>, usize) = (Vec::new(), 0);
+        // The next pick among those that no news speaks for or against, and whether one is being asked.
+        let (mut unsure, mut asked): (Option<(f64, usize)>, bool) = (None, false);
         let kept_clear = long.then(|| self.most_advanced(now, group_index)).flatten();
         for &index in if primary_only { &[][..] } else { &group.members } {
-            let member = self.member(index);
+            let member = self.fleet.member(index);
             if Some(index) == group.primary || Some(index) == kept_clear || !self.usable(now, index, rpc) {
                 continue;
             }
@@ -211,12 +197,14 @@
                 _ => self.current(now, member, needs),
             };
             if !passes {
-                match member.probe_sent {
-                    Some(sent) => asked += usize::from(now - sent < ASK_WAIT),
-                    None if level != Level::Any && self.may_have_caught_up(now, member, needs) => {
-                        unsure.push((self.load(now, member) + chance.generate::<f64>(), index));
-                    }
-                    None => {}
+                let load = self.load(now, member) + chance.generate::<f64>();
+                asked |= member.probe_sent.map_or(member.probe_at <= now, |sent| now - sent < ASK_WAIT);
+                if member.probe_sent.is_none()
+                    && level != Level::Any
+                    && unsure.is_none_or(|(least, _)| load < least)
+                    && self.may_have_caught_up(now, member, needs)
+                {
+                    unsure = Some((load, index));
                 }
                 continue;
             }
@@ -225,43 +213,35 @@
             {
                 continue;
             }
-            let mut load = self.load(now, member);
-            if long {
-                load = -self.behind(now, member);
-            }
-            let turn = match long {
-                true => 0.0,
-                false => {
-                    let next = usual * (1.0 - TURN_SPREAD / 2.0 + TURN_SPREAD * chance.generate::<f64>());
-                    let part = self.ramp(now, member).unwrap_or(1.0);
-                    (self.recently_sent(now, member) / part + next) * self.stretch(now, member, 8)
-                }
-            };
-            if picked.is_none_or(|(least, next, _)| (load, turn) < (least, next)) {
+            let load = if long { -self.behind(now, member) } else { self.load(now, member) };
+            let next = row.usual.secs() * (1.0 + TURN_SPREAD * (chance.generate::<f64>() - 0.5));
+            let sent = member.sent.last(now, 8).1 / self.ramp(now, member).unwrap_or(1.0);
+            let turn = if long { 0.0 } else { (sent + next) * self.stretch(now, member, 8) };
+            if picked.is_none_or(|(least, first, _)| (load, turn) < (least, first)) {
                 picked = Some((load, turn, index));
             }
         }
-        // No news yet: the read waits for that of its next picks, a round trip, before the primary is asked.
-        if picked.is_none() && self.deployment.probes && !primary_only && unsure.len() + asked > 0 {
-            unsure.sort_by(|a, b| a.0.total_cmp(&b.0));
-            let more = ASKED.saturating_sub(asked);
-            unsure.iter().take(more).for_each(|&(_, index)| self.ask(now, index));
+        // No news yet: the read waits for that of its next pick, a round trip, before the primary is asked.
+        if picked.is_none() && self.deployment.probes && !primary_only && (asked || unsure.is_some()) {
+            if let (false, Some((_, index))) = (asked, unsure) {
+                self.ask(now, index);
+            }
             self.chance = chance;
             return self.hold(rpc);
         }
         // The spill, which leaves the writes their place.
         let share = if primary_only { 1.0 } else { READ_SHARE };
-        let group = &self.groups[group_index];
+        let group = &self.fleet.groups[group_index];
         if picked.is_none()
             && let Some(index) = group.primary
             && self.usable(now, index, rpc)
-            && self.member(index).misses == 0
+            && self.fleet.member(index).misses == 0
             && self.room(now, index, rpc, share * spare)
         {
-            match self.crowded(now, self.member(index)) {
+            match self.crowded(now, self.fleet.member(index)) {
                 Some(true) => self.ask(now, index),
                 // All routers that write load it, and each sees its own few answers only: it is asked first.
-                None if self.member(index).probe_sent.is_none_or(|sent| now - sent < ASK_WAIT) => {
+                None if self.fleet.member(index).probe_sent.is_none_or(|sent| now - sent < ASK_WAIT) => {
                     self.ask(now, index);
                     return self.hold(rpc);
                 }
@@ -270,13 +250,16 @@
         }
         // No primary, and no lag is known for want of one: where members check, the most advanced replica.
         if picked.is_none()
-            && self.groups[group_index].primary.is_none()
+            && self.fleet.groups[group_index].primary.is_none()
             && self.deployment.checks != Checks::Off
             && !primary_only
         {
-            let unknown = |index: &usize| self.member(*index).lag.is_none() && self.usable(now, *index, rpc);
-            let replicas = self.groups[group_index].members.iter().copied().filter(unknown);
-            picked = replicas.max_by_key(|&index| self.member(index).position).map(|index| (0.0, 0.0, index));
+            let unknown =
+                |index: &usize| self.fleet.member(*index).lag.is_none() && self.usable(now, *index, rpc);
+            let replicas = self.fleet.groups[group_index].members.iter().copied().filter(unknown);
+            picked = replicas
+                .max_by_key(|&index| self.fleet.member(index).position)
+                .map(|index| (0.0, 0.0, index));
         }
         self.chance = chance;
         match picked {
@@ -286,34 +269,27 @@
         }
     }
 
+    fn ask_all(&mut self, now: Time, group: usize) {
+        (0..self.fleet.groups[group].members.len())
+            .for_each(|nth| self.ask(now, self.fleet.groups[group].members[nth]));
+    }
+
     /// A probe of it is due now.
     fn ask(&mut self, now: Time, index: usize) {
         // Not more often than it can have news, nor than it can bear where all routers ask.
-        let drained = self.least_usual() * (self.member(index).waiting.unwrap_or(0.0) * DRAIN);
-        let member = self.member_mut(index);
+        let drained = self.least_usual() * (self.fleet.member(index).waiting.unwrap_or(0.0) * DRAIN);
+        let member = self.fleet.member_mut(index);
         if member.probe_sent.is_none() {
             member.probe_at = member.probe_at.min(now.max(member.probed_at + PROBE_AGAIN.max(drained)));
-            let at = member.probe_at;
-            self.probes_at = self.probes_at.min(at);
+            self.probes_at = self.probes_at.min(member.probe_at);
         }
     }
 
     fn call_out(&mut self, now: Time, rpc: Rpc, index: usize) -> Decision {
-        let state = &self.rpcs[rpc];
-        let row = &self.rows[state.arrival.method as usize];
-        let (method, usual) = (state.arrival.method, row.usual.secs());
-        let state = &mut self.rpcs[rpc];
-        state.held = false;
-        state.out += 1;
-        state.callouts += 1;
-        state.sent = now;
-        let member = self.member_mut(index);
-        if member.out.is_empty() {
-            member.silent_from = now;
-        }
-        member.out.push((now, method));
-        member.sent_at = now;
-        member.sent.add(now, usual);
+        let method = self.rpcs[rpc].arrival.method;
+        self.rpcs[rpc].called_out(now);
+        let member = self.fleet.member_mut(index);
+        member.called_out(now, method, self.rows[method as usize].usual);
         Decision::CallOut { member: member.id, limit: None }
     }
 
@@ -321,7 +297,7 @@
         let state = &mut self.rpcs[rpc];
         if !state.held {
             state.held = true;
-            self.groups[state.arrival.group as usize].held.push(rpc);
+            self.fleet.groups[state.arrival.group as usize].held.push(rpc);
         }
         Decision::Hold
     }
@@ -337,7 +313,8 @@
         };
         let over = now + self.rows[state.arrival.method as usize].usual >= self.wanted_by(rpc);
         let longest = self.deployment.longest_come_back;
-        let come_back = if over { longest } else { longest * (0.2 + 0.3 * self.chance.generate::<f64>()) };
+        let part = COME_BACK + COME_BACK_SPREAD * self.chance.generate::<f64>();
+        let come_back = if over { longest } else { longest * part };
         self.rpcs.close(rpc);
         if harmless { Decision::PushBack { come_back } } else { Decision::Abort }
     }
@@ -352,28 +329,18 @@
         }
     }
 
-    fn member(&self, index: usize) -> &Member {
-        self.members[index].as_ref().expect("members of groups are known")
-    }
-
-    fn member_mut(&mut self, index: usize) -> &mut Member {
-        self.members[index].as_mut().expect("members of groups are known")
-    }
-
     /// May anything be sent to it now, and this RPC in particular? Not where its answer would come too late:
     /// what the answers of the last seconds tell, so that a jam is tried again once they are forgotten.
     fn usable(&self, now: Time, index: usize, rpc: Rpc) -> bool {
-        let member = self.member(index);
+        let member = self.fleet.member(index);
         let state = &self.rpcs[rpc];
+        let usual = self.rows[state.arrival.method as usize].usual;
         let (count, sum) = member.stretch.last(now, 4);
         let own = (sum + 3.0) / (count + 3.0);
-        if now + self.rows[state.arrival.method as usize].usual * (own * MARGIN) >= self.wanted_by(rpc) {
-            return false;
-        }
         member.standing == Standing::On
             && member.misses < MISSES_TO_DROP
-            && !(state.tried.contains(&index)
-                && now - state.ended < self.rows[state.arrival.method as usize].usual)
+            && now + usual * (own * MARGIN) < self.wanted_by(rpc)
+            && !(state.tried.contains(&index) && now - state.ended < usual)
             && self.warm_enough(now, index, rpc)
     }
 
@@ -399,17 +366,13 @@
     /// member idle between call-outs, so that many routers with little traffic do not jam it together.
     fn room(&self, now: Time, index: usize, rpc: Rpc, share: f64) -> bool {
         let method = self.rpcs[rpc].arrival.method;
-        let member = self.member(index);
+        let member = self.fleet.member(index);
         let limit = member.limit * share;
         let calm = (CALM / self.stretch(now, member, 4)).powi(2);
-        if self.rpcs[rpc].luck > calm {
-            return false;
-        }
-        if limit >= 1.0 {
-            return self.in_flight(now, member) < limit;
-        }
-        self.in_flight(now, member) == 0.0
-            && now - member.sent_at >= self.expected(now, member, method) * (1.0 / limit)
+        let idle_for = self.expected(now, member, method) * (1.0 / limit);
+        self.rpcs[rpc].luck <= calm
+            && self.in_flight(now, member) < limit.max(1.0)
+            && (limit >= 1.0 || now - member.sent_at >= idle_for)
     }
 
     /// Do others make RPCs wait there, by its last report? None where that is too old to tell.
@@ -426,17 +389,15 @@
 
     /// The replica that long reads leave to the others; None where there is only one.
     fn most_advanced(&self, now: Time, group: usize) -> Option<usize> {
-        let group = &self.groups[group];
-        let replicas = || {
-            let members = group.members.iter().copied().filter(|&index| Some(index) != group.primary);
-            members.filter(|&index| {
-                let member = self.member(index);
-                member.standing == Standing::On && member.misses < MISSES_TO_DROP
-            })
+        let group = &self.fleet.groups[group];
+        let serves = |&index: &usize| {
+            let member = self.fleet.member(index);
+            Some(index) != group.primary && member.standing == Standing::On && member.misses < MISSES_TO_DROP
         };
+        let replicas = || group.members.iter().copied().filter(serves);
         replicas().nth(1)?;
-        replicas()
-            .min_by(|&a, &b| self.behind(now, self.member(a)).total_cmp(&self.behind(now, self.member(b))))
+        let behind = |index: usize| self.behind(now, self.fleet.member(index));
+        replicas().min_by(|&a, &b| behind(a).total_cmp(&behind(b)))
     }
 
     /// Lag in rough steps, so that routers that see it at other moments agree.
@@ -458,12 +419,9 @@
     /// stands still must not look idle.
     fn load(&self, now: Time, member: &Member) -> f64 {
         let (failures, _) = member.failures.last(now, 4);
-        let usual = self.least_usual().secs().max(1e-4);
-        let silence = match member.out.is_empty() {
-            true => 0.0,
-            false => (now - member.silent_from).secs() / usual,
-        };
-        self.in_flight(now, member) + failures * FAILURE_LOAD + (silence - SILENCE).max(0.0).floor()
+        let silent = if member.out.is_empty() { Span::ZERO } else { now - member.silent_from };
+        let silence = (silent.secs() / self.least_usual().secs().max(1e-4) - SILENCE).max(0.0).floor();
+        self.in_flight(now, member) + failures * FAILURE_LOAD + silence
     }
 
     /// A call-out far past its time, though the member has answered one that was sent later, was lost on the
@@ -478,8 +436,7 @@
 
     /// Answer time to expect of it: the method's usual one, stretched as its recent answers were.
     fn expected(&self, now: Time, member: &Member, method: u32) -> Span {
-        let usual = self.rows[method as usize].usual;
-        usual * self.stretch(now, member, 4)
+        self.rows[method as usize].usual * self.stretch(now, member, 4)
     }
 
     /// Present answer time over the usual one; where few answers tell, those of all members stand in.
@@ -493,23 +450,15 @@
     /// that, so does their sum, whatever traffic they have and however many members are cold. Writes have
     /// nowhere else to go: a cold primary gets twice that part.
     fn warm_enough(&self, now: Time, index: usize, rpc: Rpc) -> bool {
-        let Some(ramp) = self.ramp(now, self.member(index)) else { return true };
+        let Some(ramp) = self.ramp(now, self.fleet.member(index)) else { return true };
         let state = &self.rpcs[rpc];
-        let primary_only = matches!(self.level(state.arrival.method), Level::Fresh | Level::Write);
+        let level = self.rows[state.arrival.method as usize].method.level;
         // The same chance for an RPC at each look, another one for each member.
         let luck = (state.luck + index as f64 * 0.618) % 1.0;
         // What waited for a new primary does not come all at once.
-        let since = now - self.groups[state.arrival.group as usize].primary_at;
+        let since = now - self.fleet.groups[state.arrival.group as usize].primary_at;
         let part = (since.secs() / self.deployment.overload_for.secs().max(1e-3)).min(1.0);
-        luck < if primary_only { ramp * COLD_WRITES * part } else { ramp }
-    }
-
-    fn level(&self, method: u32) -> Level {
-        self.rows[method as usize].method.level
-    }
-
-    fn recently_sent(&self, now: Time, member: &Member) -> f64 {
-        member.sent.last(now, 8).1
+        luck < if matches!(level, Level::Fresh | Level::Write) { ramp * COLD_WRITES * part } else { ramp }
     }
 
     /// The part of its capacity that a cold member is sure to have; None once it is warm.
@@ -525,14 +474,12 @@
         let (entries, whole) = match news {
             ListNews::Failed => {
                 self.ask_failures += 1;
-                let most = self.deployment.must_ask.unwrap_or(Span::MAX) * 0.4;
                 let spread = 0.5 + self.chance.generate::<f64>();
-                let wait = Span::from_millis(500) * f64::from(1 << self.ask_failures.min(4)) * spread;
-                self.ask_at = self.deployment.must_ask.map(|_| now + wait.min(most));
+                let wait = LIST_AGAIN * f64::from(1 << self.ask_failures.min(4)) * spread;
+                self.ask_at = self.deployment.must_ask.map(|most| now + wait.min(most * LIST_DUE));
                 return;
             }
-            ListNews::Remembered(entries) => (entries, true),
-            ListNews::Whole(entries) => (entries, true),
+            ListNews::Remembered(entries) | ListNews::Whole(entries) => (entries, true),
             ListNews::Changes(entries) => (entries, false),
         };
         if !matches!(news, ListNews::Remembered(_)) {
@@ -543,30 +490,25 @@
             self.listed(now, entry);
         }
         if whole && !self.deployment.soft_removal {
-            for index in 0..self.members.len() {
-                if self.members[index].is_some() && !entries.iter().any(|e| e.member.0 as usize == index) {
-                    self.member_mut(index).standing = Standing::Off;
+            for member in self.fleet.members.iter_mut().flatten() {
+                if !entries.iter().any(|entry| entry.member == member.id) {
+                    member.standing = Standing::Off;
                 }
             }
         }
-        for group in 0..self.groups.len() {
+        for group in 0..self.fleet.groups.len() {
             self.find_primary(now, group);
         }
     }
 
     fn listed(&mut self, now: Time, entry: &Entry) {
         let index = entry.member.0 as usize;
-        if self.members.len() <= index {
-            self.members.resize_with(index + 1, || None);
-        }
-        let group = self.reach_group(entry.group);
-        if self.members[index].is_none() {
-            self.groups[group].members.push(index);
+        if !self.fleet.knows(entry.member) {
             let sent = self.deployment.overload_for.max(MEASURE) * 0.125;
-            let mut member = Member::new(entry.member, group, LIMIT_START, MEASURE, sent);
+            let mut member = Member::new(entry.member, entry.group as usize, LIMIT_START, MEASURE, sent);
             member.probe_at = now + self.probe_every(now) * self.chance.generate::<f64>();
             self.probes_at = self.probes_at.min(member.probe_at);
-            self.members[index] = Some(member);
+            self.fleet.add(member);
         }
         let subtle = self.deployment.soft_removal && entry.standing == Standing::Off;
         let role_told = match self.deployment.role_in_list {
@@ -574,7 +516,7 @@
             RoleInList::Start => now == self.started,
             RoleInList::Late => true,
         };
-        let member = self.member_mut(index);
+        let member = self.fleet.member_mut(index);
         if !subtle {
             member.standing = entry.standing;
         }
@@ -589,7 +531,7 @@
 
     /// A member has shown its role: of two claims to be the primary the later wins.
     fn shown(&mut self, now: Time, index: usize, role: Role, at: Time) {
-        let member = self.member_mut(index);
+        let member = self.fleet.member_mut(index);
         match role {
             Role::Primary => member.claim = member.claim.max(at),
             Role::Replica => {
@@ -604,14 +546,14 @@
     /// The member last called primary by the best evidence: its own word first, else the list's.
     fn find_primary(&mut self, now: Time, group: usize) {
         let claim = |&&index: &&usize| {
-            let member = self.member(index);
+            let member = self.fleet.member(index);
             member.standing == Standing::On && (member.claim > member.replica_at || member.named)
         };
-        let best = self.groups[group].members.iter().filter(claim).max_by_key(|&&i| self.member(i).claim);
-        let best = best.copied();
-        if best != self.groups[group].primary {
-            self.groups[group].primary = best;
-            self.groups[group].primary_at = now;
+        let members = self.fleet.groups[group].members.iter();
+        let best = members.filter(claim).max_by_key(|&&i| self.fleet.member(i).claim).copied();
+        let state = &mut self.fleet.groups[group];
+        if best != state.primary {
+            (state.primary, state.primary_at) = (best, now);
             self.notes.push(match best {
                 Some(index) => format!("group {group}: primary is #{index}"),
                 None => format!("group {group}: no primary"),
@@ -622,10 +564,10 @@
     /// The result of a probe.
     pub fn probed(&mut self, now: Time, id: MemberId, ended: Ended, took: Span, report: Report) {
         let index = id.0 as usize;
-        if self.members.get(index).is_none_or(Option::is_none) {
+        if !self.fleet.knows(id) {
             return;
         }
-        self.member_mut(index).probe_sent = None;
+        self.fleet.member_mut(index).probe_sent = None;
         // Turned away: it is there, and has more probes than it takes.
         if ended == Ended::Overloaded {
             return self.answered(now, index);
@@ -634,31 +576,31 @@
             return self.missed(now, index);
         }
         self.answered(now, index);
-        let group = self.member(index).group;
-        self.groups[group].heard = true;
+        let group = self.fleet.member(index).group;
+        self.fleet.groups[group].heard = true;
         if let Some(position) = report.position {
             let age = now - position;
-            self.member_mut(index).report_age = Some(age);
-            let primary = self.groups[group].primary;
+            self.fleet.member_mut(index).report_age = Some(age);
+            let primary = self.fleet.groups[group].primary;
             // Reports may be late: the primary's, which stands at the present, shows by how much.
-            let late = primary.map(|p| self.member(p).report_age.unwrap_or(Span::ZERO));
-            for nth in 0..self.groups[group].members.len() {
-                let other = self.groups[group].members[nth];
-                if other == index || primary == Some(index) && now - self.member(other).told_at < NEWS_AGE {
-                    let member = self.member_mut(other);
-                    member.lag =
-                        member.report_age.and_then(|age| late.map(|late| (age - late).max(Span::ZERO)));
+            let late = primary.map(|p| self.fleet.member(p).report_age.unwrap_or(Span::ZERO));
+            for nth in 0..self.fleet.groups[group].members.len() {
+                let other = self.fleet.groups[group].members[nth];
+                let member = self.fleet.member_mut(other);
+                if other == index || primary == Some(index) && now - member.told_at < NEWS_AGE {
+                    let lag = |age: Span| late.map(|late| (age - late).max(Span::ZERO));
+                    member.lag = member.report_age.and_then(lag);
                 }
             }
             self.told_position(now, index, position);
         }
-        let member = self.member_mut(index);
+        let member = self.fleet.member_mut(index);
         member.told_at = now;
         member.waiting = report.waiting;
         match (report.primary, report.position) {
             // A position never goes back: one from before the claim is an old report, not a change of role.
             (Some(true), at) => self.shown(now, index, Role::Primary, at.unwrap_or(now - took)),
-            (Some(false), at) if at.is_none_or(|at| at >= self.member(index).claim) => {
+            (Some(false), at) if at.is_none_or(|at| at >= self.fleet.member(index).claim) => {
                 self.shown(now, index, Role::Replica, at.unwrap_or(now - took));
             }
             _ => {}
@@ -667,40 +609,32 @@
 
     fn told_position(&mut self, now: Time, index: usize, position: Time) {
         let every = self.probe_every(now) * (0.75 + 0.5 * self.chance.generate::<f64>());
-        let member = self.member_mut(index);
+        let member = self.fleet.member_mut(index);
         member.position = member.position.max(position);
         member.told_at = now;
         // An answer that has just told its position saves a probe.
         member.probe_at = member.probe_at.max(now + every);
-        if let Some(lag) = member.lag {
-            member.lag = Some(lag.min(now - member.position));
-        }
+        member.lag = member.lag.map(|lag| lag.min(now - member.position));
     }
 
     /// It is there: a member that comes back after a long absence is taken for one that has started anew.
     fn answered(&mut self, now: Time, index: usize) {
-        let member = self.member_mut(index);
+        let member = self.fleet.member_mut(index);
         if member.misses >= MISSES_TO_DROP {
-            if now - member.miss_from > LONG_GONE {
-                member.cold_from = Some(now);
-            }
+            member.cold_from = if now - member.miss_from > LONG_GONE { Some(now) } else { member.cold_from };
             self.notes.push(format!("#{index} is back"));
         }
-        let member = self.member_mut(index);
-        member.misses = 0;
-        member.silent_from = now;
+        (member.misses, member.silent_from) = (0, now);
     }
 
     fn missed(&mut self, now: Time, index: usize) {
-        let member = self.member_mut(index);
+        let member = self.fleet.member_mut(index);
         if member.misses == 0 {
             member.miss_from = now;
         }
         member.misses += 1;
         member.probe_at = now + PROBE_MISSED * f64::from(1 << (member.misses - 1).min(3));
-        let probe_at = member.probe_at;
-        self.probes_at = self.probes_at.min(probe_at);
-        let member = self.member_mut(index);
+        self.probes_at = self.probes_at.min(member.probe_at);
         if member.misses == MISSES_TO_DROP {
             self.notes.push(format!("#{index} is left out: {MISSES_TO_DROP} misses in a row"));
         }
@@ -715,14 +649,13 @@
         let usual = usual.min(row.method.soft_deadline.secs() * SOFT_PART);
         row.usual = Span::from_secs_f64(usual);
         self.stretch.add(now, took.secs() / usual.max(1e-6));
-        let member = self.member_mut(index);
+        let member = self.fleet.member_mut(index);
         member.stretch.add(now, took.secs() / usual.max(1e-6));
         // The limit in flight follows shortest answer time over the present one.
-        let ratio = 1.0 / self.stretch(now, self.member(index), 4).max(1.0);
-        let in_flight = self.in_flight(now, self.member(index));
-        let member = self.member_mut(index);
+        let ratio = 1.0 / self.stretch(now, self.fleet.member(index), 4).max(1.0);
+        let used = self.in_flight(now, self.fleet.member(index)) + 1.0;
+        let member = self.fleet.member_mut(index);
         let wanted = member.limit * ratio + member.limit.sqrt().min(member.limit * 0.5);
-        let used = in_flight + 1.0;
         if wanted < member.limit {
             // Where little is sent, a limit far above it would take long to bind.
             member.limit = member.limit.min(used * 2.0) * 0.75 + wanted.min(used * 2.0) * 0.25;
@@ -736,9 +669,9 @@
     pub fn tend(&mut self, now: Time) -> Upkeep {
         let mut upkeep = Upkeep::default();
         let mut wake = now + Span::MAX;
-        for group in 0..self.groups.len() {
+        for group in 0..self.fleet.groups.len() {
             self.tend_held(now, group, &mut upkeep);
-            if !self.groups[group].held.is_empty() {
+            if !self.fleet.groups[group].held.is_empty() {
                 wake = wake.min(now + HELD_EVERY);
             }
         }
@@ -751,8 +684,8 @@
         if let Some(at) = self.ask_at {
             if at <= now {
                 upkeep.ask_list = true;
-                let spread = 0.3 + 0.2 * self.chance.generate::<f64>();
-                self.ask_at = self.deployment.must_ask.map(|most| now + most * spread);
+                let spread = 0.75 + 0.5 * self.chance.generate::<f64>();
+                self.ask_at = self.deployment.must_ask.map(|most| now + most * (LIST_DUE * spread));
             }
             wake = wake.min(self.ask_at.unwrap_or(wake));
         }
@@ -763,37 +696,23 @@
 
     /// Held RPCs in the order of utility for the work they cost.
     fn tend_held(&mut self, now: Time, group: usize, upkeep: &mut Upkeep) {
-        let mut held = std::mem::take(&mut self.groups[group].held);
+        let mut held = std::mem::take(&mut self.fleet.groups[group].held);
         if held.is_empty() {
             return;
         }
-        if self.groups[group].primary.is_none_or(|p| self.member(p).misses > 0) {
-            for nth in 0..self.groups[group].members.len() {
-                let index = self.groups[group].members[nth];
-                self.ask(now, index);
-            }
+        if self.fleet.groups[group].primary.is_none_or(|p| self.fleet.member(p).misses > 0) {
+            self.ask_all(now, group);
         }
         held.retain(|rpc| self.rpcs.find(*rpc).is_some_and(|state| state.held));
         held.sort_by(|a, b| self.density(now, *b).total_cmp(&self.density(now, *a)));
-        let mut kept = Vec::new();
-        let mut pushed_back = false;
-        for rpc in held {
-            match self.place(now, rpc) {
-                Decision::Hold => kept.push(rpc),
-                decision => {
-                    pushed_back |= matches!(decision, Decision::PushBack { .. });
-                    upkeep.decisions.push((rpc, decision));
-                }
+        held.retain(|&rpc| match self.place(now, rpc) {
+            Decision::Hold => true,
+            decision => {
+                upkeep.decisions.push((rpc, decision));
+                false
             }
-        }
-        let state = &mut self.groups[group];
-        state.held = kept;
-        if pushed_back {
-            if now - state.shed_at > SHED_OVER {
-                self.notes.push(format!("group {group}: shedding on"));
-            }
-            state.shed_at = now;
-        }
+        });
+        self.fleet.groups[group].held = held;
     }
 
     fn density(&self, now: Time, rpc: Rpc) -> f64 {
@@ -807,15 +726,15 @@
     fn probe_every(&self, now: Time) -> Span {
         let (taken, _) = self.taken.last(now, 8);
         let probes = taken / (MEASURE.secs() * 8.0) * PROBE_SHARE;
-        let round = Span::from_secs_f64(self.members.len() as f64 / probes.max(1e-3));
+        let round = Span::from_secs_f64(self.fleet.members.len() as f64 / probes.max(1e-3));
         round.max(PROBE_EVERY).min(PROBE_SLOWEST)
     }
 
     fn tend_probes(&mut self, now: Time, upkeep: &mut Upkeep) {
         let every = self.probe_every(now);
         self.probes_at = now + PROBE_EVERY;
-        for index in 0..self.members.len() {
-            let Some(member) = &mut self.members[index] else { continue };
+        for index in 0..self.fleet.members.len() {
+            let Some(member) = &mut self.fleet.members[index] else { continue };
             if member.standing == Standing::Off {
                 continue;
             }
@@ -824,7 +743,7 @@
                 self.missed(now, index);
             }
             let spread = 0.75 + 0.5 * self.chance.generate::<f64>();
-            let member = self.member_mut(index);
+            let member = self.fleet.member_mut(index);
             // The round may have become shorter since.
             member.probe_at = member.probe_at.min(member.probed_at.max(member.told_at) + every * spread);
             if member.probe_sent.is_none() && member.probe_at <= now {
@@ -845,9 +764,7 @@
         let index = outcome.member.0 as usize;
         let Some(state) = router.rpcs.find(self) else { return Decision::Done };
         let (arrival, sent) = (state.arrival, state.sent);
-        state.out = state.out.saturating_sub(1);
-        state.ended = now;
-        state.tried.push(index);
+        state.came_back(now, index);
         let over = outcome.complete || !state.live;
         router.heard(now, index, &outcome, arrival, sent);
         if over {
@@ -873,20 +790,15 @@
     /// What the outcome of a call-out tells of the member.
     fn heard(&mut self, now: Time, index: usize, outcome: &Outcome, arrival: Arrival, sent: Time) {
         let level = self.rows[arrival.method as usize].method.level;
-        let member = self.member(index);
+        let member = self.fleet.member(index);
         let lost = outcome.ended == Ended::TimedOut && self.is_lost(now, member, sent, arrival.method);
-        let member = self.member_mut(index);
-        if outcome.ended == Ended::Ok {
-            member.answered = member.answered.max(sent);
-        }
-        if let Some(at) = member.out.iter().position(|&out| out == (sent, arrival.method)) {
-            member.out.swap_remove(at);
-        }
+        let member = self.fleet.member_mut(index);
+        member.came_back(sent, arrival.method, outcome.ended == Ended::Ok);
         let group = member.group;
         match outcome.ended {
             Ended::Ok | Ended::Absent => {
                 self.answered(now, index);
-                self.groups[group].heard = true;
+                self.fleet.groups[group].heard = true;
             }
             Ended::Failed | Ended::Overloaded | Ended::Broken | Ended::TimedOut => {
                 member.failures.add(now, 1.0);
@@ -908,29 +820,21 @@
         }
         if let Some(position) = outcome.position {
             let commit = outcome.ended == Ended::Ok && level == Level::Write;
-            if commit && let Some(session) = arrival.session {
-                let session = session as usize;
-                if self.sessions.len() <= session {
-                    self.sessions.resize(session + 1, Time::NEVER);
-                }
-                self.sessions[session] = self.sessions[session].max(position);
-            }
-            if !commit {
-                self.member_mut(index).lag = Some(now - position);
+            if commit {
+                self.sessions.wrote(arrival.session, position);
+            } else {
+                self.fleet.member_mut(index).lag = Some(now - position);
                 self.told_position(now, index, position);
             }
         }
-        match outcome.role {
-            Some(Role::Primary) => {
-                self.shown(now, index, Role::Primary, outcome.position.unwrap_or(now - outcome.took));
-            }
-            Some(Role::Replica) => self.shown(now, index, Role::Replica, now),
-            None => {}
+        if let Some(role) = outcome.role {
+            let at = if role == Role::Primary { outcome.position.unwrap_or(now - outcome.took) } else { now };
+            self.shown(now, index, role, at);
         }
         if outcome.ended == Ended::Absent
             && let Level::Bounded(bound) = level
         {
-            let member = self.member_mut(index);
+            let member = self.fleet.member_mut(index);
             member.lag = Some(member.lag.unwrap_or(bound).max(bound + Span::from_millis(1)));
             member.told_at = now;
         }
--- a/crates/ladderpass-core/src/state.rs
+++ b/crates/ladderpass-core/src/state.rs
@@ -51,7 +51,56 @@
     pub primary_at: Time,
     pub heard: bool,
     pub held: Vec<Rpc>,
-    pub shed_at: Time,
+}
+
+/// All members and groups that the list has named.
+#[derive(Default)]
+pub struct Fleet {
+    pub members: Vec<Option<Member>>,
+    pub groups: Vec<Group>,
+}
+
+impl Fleet {
+    pub fn reach_group(&mut self, group: u32) -> &mut Group {
+        let group = group as usize;
+        self.groups.resize_with(self.groups.len().max(group + 1), Group::default);
+        &mut self.groups[group]
+    }
+
+    pub fn knows(&self, id: MemberId) -> bool {
+        self.members.get(id.0 as usize).is_some_and(Option::is_some)
+    }
+
+    pub fn add(&mut self, member: Member) {
+        let index = member.id.0 as usize;
+        self.reach_group(member.group as u32).members.push(index);
+        self.members.resize_with(self.members.len().max(index + 1), || None);
+        self.members[index] = Some(member);
+    }
+
+    pub fn member(&self, index: usize) -> &Member {
+        self.members[index].as_ref().expect("members of groups are known")
+    }
+
+    pub fn member_mut(&mut self, index: usize) -> &mut Member {
+        self.members[index].as_mut().expect("members of groups are known")
+    }
+}
+
+/// Commit of each session's last write that was answered here.
+#[derive(Default)]
+pub struct Sessions(Vec<Time>);
+
+impl Sessions {
+    pub fn written(&self, session: Option<u32>) -> Time {
+        session.and_then(|s| self.0.get(s as usize).copied()).unwrap_or(Time::NEVER)
+    }
+
+    pub fn wrote(&mut self, session: Option<u32>, commit: Time) {
+        let Some(session) = session.map(|s| s as usize) else { return };
+        self.0.resize(self.0.len().max(session + 1), Time::NEVER);
+        self.0[session] = self.0[session].max(commit);
+    }
 }
 
 /// One row a method.
@@ -112,6 +161,41 @@
             sent: Ring::new(sent_bucket),
         }
     }
+
+    /// A call-out goes to it.
+    pub fn called_out(&mut self, now: Time, method: u32, usual: Span) {
+        if self.out.is_empty() {
+            self.silent_from = now;
+        }
+        self.out.push((now, method));
+        self.sent_at = now;
+        self.sent.add(now, usual.secs());
+    }
+
+    /// A call-out to it has ended.
+    pub fn came_back(&mut self, sent: Time, method: u32, answered: bool) {
+        if answered {
+            self.answered = self.answered.max(sent);
+        }
+        if let Some(at) = self.out.iter().position(|&out| out == (sent, method)) {
+            self.out.swap_remove(at);
+        }
+    }
+}
+
+impl State {
+    pub fn called_out(&mut self, now: Time) {
+        self.held = false;
+        self.out += 1;
+        self.callouts += 1;
+        self.sent = now;
+    }
+
+    pub fn came_back(&mut self, now: Time, index: usize) {
+        self.out = self.out.saturating_sub(1);
+        self.ended = now;
+        self.tried.push(index);
+    }
 }
 
 /// The RPCs, in slots that are used again; a handle of an earlier use no longer fits.
@@ -122,7 +206,7 @@
 }
 
 impl Slots {
-    pub fn open(&mut self, now: Time, arrival: Arrival, written: Time) -> Rpc {
+    pub fn open(&mut self, now: Time, arrival: Arrival, written: Time, luck: f64) -> Rpc {
         let state = State {
             turn: 0,
             arrival,
@@ -131,7 +215,7 @@
             held: false,
             out: 0,
             callouts: 0,
-            luck: 0.0,
+            luck,
             sent: now,
             ended: now,
             risked: None,
