--- a/crates/ladderpass-core/tests/plain.rs
+++ b/crates/ladderpass-core/tests/plain.rs
@@ -27,8 +27,19 @@
     probe(&mut router, 5, 0, 4, true);
     probe(&mut router, 5, 1, 0, false);
     probe(&mut router, 5, 2, -2000, false);
-    for _ in 0..4 {
-        assert_eq!(sent_to(router.take(at(10), arrival(0, 10)).1), Some(1));
+    for ms in 10..14 {
+        let (rpc, decision) = router.take(at(ms), arrival(0, ms));
+        assert_eq!(sent_to(decision), Some(1));
+        rpc.left(&mut router);
+        let outcome = Outcome {
+            member: MemberId(1),
+            ended: Ended::Ok,
+            took: Span::ZERO,
+            complete: true,
+            role: None,
+            position: None,
+        };
+        rpc.ended(&mut router, at(ms), outcome);
     }
     probe(&mut router, 900, 1, 50, false);
     probe(&mut router, 900, 2, -2000, false);
