Cold members get a fair share of their group at its largest; what waited is spread over longer

A ramp's part of all the group's traffic is too much for a member that is one of few left, and writes held over a failover came in one and a half seconds. Now a cold replica gets its ramp of two fair shares of the group at its largest, a cold primary 1.5 ramps of the writes, reached over three times the span of the rule.

--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -71,8 +71,11 @@
 const LIMIT_CUT: f64 = 0.65;
 /// The shortest answer time is taken to be no more than this part of the soft deadline.
 const SOFT_PART: f64 = 0.2;
-/// What a cold primary gets of the writes, as a multiple of its ramp.
-const COLD_WRITES: f64 = 2.0;
+/// What a cold primary gets of the writes, in multiples of its ramp, and over how many times the span in which
+/// it could fall over it takes up what waited; what a cold replica gets of the reads, in fair shares.
+const COLD_WRITES: f64 = 1.5;
+const COLD_SPREAD: f64 = 3.0;
+const COLD_READS: f64 = 2.0;
 /// Held RPCs are looked at again at least this often.
 const HELD_EVERY: Span = Span::from_millis(10);
 /// Part of the longest time to come back that is named while an answer could still earn something, and spread.
@@ -441,19 +444,22 @@
         (sum + 3.0 * (total + 4.0) / (all + 3.0)) / (count + 3.0)
     }
 
-    /// A cold member is in the pick for a part of the RPCs only, a ramp over its warm-up. If each router keeps
-    /// that, so does their sum, whatever traffic they have and however many members are cold. Writes have
-    /// nowhere else to go: a cold primary gets twice that part.
+    /// A cold member is in the pick for a part of the RPCs only: its ramp, of a fair share of the group at its
+    /// largest. If each router keeps that, so does their sum, whatever traffic they have and however few members
+    /// are left. Writes have nowhere else to go; what waited for a cold primary does not come all at once.
     fn warm_enough(&self, now: Time, index: usize, rpc: Rpc) -> bool {
         let Some(ramp) = self.ramp(now, self.fleet.member(index)) else { return true };
         let state = &self.rpcs[rpc];
-        let level = self.rows[state.arrival.method as usize].method.level;
+        let group = &self.fleet.groups[state.arrival.group as usize];
+        let part = match self.rows[state.arrival.method as usize].method.level {
+            Level::Fresh | Level::Write => {
+                let spread = self.deployment.overload_for * COLD_SPREAD;
+                COLD_WRITES * ((now - group.primary_at).secs() / spread.secs().max(1e-3)).min(1.0)
+            }
+            _ => (COLD_READS / group.largest.max(1) as f64).min(1.0),
+        };
         // The same chance for an RPC at each look, another one for each member.
-        let luck = (state.luck + index as f64 * 0.618) % 1.0;
-        // What waited for a new primary does not come all at once.
-        let since = now - self.fleet.groups[state.arrival.group as usize].primary_at;
-        let part = (since.secs() / self.deployment.overload_for.secs().max(1e-3)).min(1.0);
-        luck < if matches!(level, Level::Fresh | Level::Write) { ramp * COLD_WRITES * part } else { ramp }
+        (state.luck + index as f64 * 0.618) % 1.0 < ramp * part
     }
 
     /// The part of its capacity that a cold member is sure to have; None once it is warm.
@@ -492,6 +498,9 @@
             }
         }
         for group in 0..self.fleet.groups.len() {
+            let members = self.fleet.groups[group].members.iter();
+            let on = members.filter(|&&index| self.fleet.member(index).standing == Standing::On).count();
+            self.fleet.groups[group].largest = self.fleet.groups[group].largest.max(on);
             self.find_primary(now, group);
         }
     }
--- a/crates/ladderpass-core/src/state.rs
+++ b/crates/ladderpass-core/src/state.rs
@@ -47,7 +47,9 @@
 pub struct Group {
     pub members: Vec<usize>,
     pub primary: Option<usize>,
-    /// Since when it is.
+    /// Most members that it had at once.
+    pub largest: usize,
+    /// Since when the primary is.
     pub primary_at: Time,
     pub heard: bool,
     pub held: Vec<Rpc>,
