--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -16,9 +16,8 @@
 const PROBE_EVERY: Span = Span::from_millis(1000);
 const PROBE_SHARE: f64 = 0.2;
 const PROBE_SLOWEST: Span = Span::from_millis(30_000);
-/// A member that missed is probed again after this long, and twice as long each time up to its eightfold.
+/// A member is asked at most this often; one that missed after the first span, doubled up to its eightfold.
 const PROBE_MISSED: Span = Span::from_millis(500);
-/// A member is asked at most this often.
 const PROBE_AGAIN: Span = Span::from_millis(200);
 /// A probe that has told nothing for this long is taken for lost.
 const PROBE_LOST: Span = Span::from_millis(1500);
@@ -31,9 +30,8 @@
 /// RPCs waiting at a member past which it gets no more; each leaves in this part of an answer time.
 const WAITING: f64 = 0.5;
 const DRAIN: f64 = 0.25;
-/// Probes and connects failed in a row before a member is left out.
+/// Probes and connects failed in a row before a member is left out; after this long it has started anew.
 const MISSES_TO_DROP: u32 = 3;
-/// Out of contact for this long, a member is taken to have started anew.
 const LONG_GONE: Span = Span::from_millis(1000);
 /// Staleness that reads without a bound start at.
 const ANY_BOUND: Span = Span::from_millis(30_000);
@@ -41,22 +39,19 @@
 const FIRST_ANSWERS: Span = Span::from_millis(300);
 /// A failed call-out weighs in the pick like this many in flight, for as long as its ring reaches back.
 const FAILURE_LOAD: f64 = 2.0;
-/// Usual answer times without a word before silence weighs in the pick.
-const SILENCE: f64 = 3.0;
-/// Share of the primary's in-flight limit that reads may use.
+/// Share of an in-flight limit that reads may use on the primary, and marked repeats of reads anywhere.
 const READ_SHARE: f64 = 0.3;
-/// Share of a member's in-flight limit that marked repeats may use.
 const REPEAT_SHARE: f64 = 0.1;
-/// A method is long from this multiple of the shortest one's answer time.
+/// A method is long from this multiple of the shortest one's answer time; seconds of lag that matter to it.
 const LONG: f64 = 4.0;
-/// Seconds of lag that make a difference to long reads.
 const LAG_STEP: f64 = 0.5;
 /// Turns among equals are drawn by chance within this part of one RPC.
 const TURN_SPREAD: f64 = 1.0;
 /// Answer times spread: this multiple of the usual one must fit.
 const MARGIN: f64 = 1.5;
-/// Width of the buckets in which answers and failures are counted.
+/// Width of the buckets in which answers and failures are counted; answers of all that stand in for a member's.
 const MEASURE: Span = Span::from_millis(500);
+const STAND_IN: f64 = 3.0;
 /// A call-out that takes this multiple of the usual time while others are answered was lost.
 const LOST: f64 = 12.0;
 /// Parts of the bound, less its lag, that a replica has for its limit.
@@ -67,7 +62,7 @@
 const START_LEAST: f64 = 0.5;
 const LIMIT_LEAST: f64 = 0.1;
 const LIMIT_MOST: f64 = 200.0;
-/// What a member that turns work away leaves of its limit.
+/// What turning work away, or a time-out, leaves of a limit.
 const LIMIT_CUT: f64 = 0.65;
 /// The shortest answer time is taken to be no more than this part of the soft deadline.
 const SOFT_PART: f64 = 0.2;
@@ -78,9 +73,8 @@
 const COLD_READS: f64 = 2.0;
 /// Held RPCs are looked at again at least this often.
 const HELD_EVERY: Span = Span::from_millis(10);
-/// Part of the longest time to come back that is named while an answer could still earn something, and spread.
-const COME_BACK: f64 = 0.2;
-const COME_BACK_SPREAD: f64 = 0.3;
+/// Part of the longest time to come back that is named, spread by chance, while an answer could still earn.
+const COME_BACK: f64 = 0.35;
 /// Evidence of a role younger than this outweighs the list.
 const LIST_LAG: Span = Span::from_millis(10_000);
 /// A failed list call is made again after this long, doubled up to the sixteenfold; the next one within these
@@ -179,12 +173,11 @@
             _ => Time::NEVER,
         };
         // The filter and the pick: fewest in flight among the replicas that pass, ties in turn.
-        let mut picked: Option<(f64, f64, usize)> = None;
-        // A marked repeat that may run again: it competes with first tries, of which more are still wanted, so it
-        // gets what is idle and no more.
+        let mut best: Option<(f64, f64, usize)> = None;
+        // A marked repeat competes with first tries, of which more are still wanted: it gets what is idle.
         let repeat = state.arrival.resent && row.method.effect == Effect::Idempotent;
         let spare = if repeat { REPEAT_SHARE } else { 1.0 };
-        let long = level == Level::Any && self.is_long(state.arrival.method);
+        let long = level == Level::Any && row.usual > self.least_usual() * LONG;
         let mut chance = self.chance.clone();
         // The next pick among those that no news speaks for or against, and whether one is being asked.
         let (mut unsure, mut asked): (Option<(f64, usize)>, bool) = (None, false);
@@ -221,54 +214,45 @@
             let next = row.usual.secs() * (1.0 + TURN_SPREAD * (chance.generate::<f64>() - 0.5));
             let sent = member.sent.last(now, 8).1 / self.ramp(now, member).unwrap_or(1.0);
             let turn = if long { 0.0 } else { (sent + next) * self.stretch(now, member, 8) };
-            if picked.is_none_or(|(least, first, _)| (load, turn) < (least, first)) {
-                picked = Some((load, turn, index));
+            if best.is_none_or(|(least, first, _)| (load, turn) < (least, first)) {
+                best = Some((load, turn, index));
             }
         }
+        let mut picked = best.map(|(_, _, index)| index);
         // No news yet: the read waits for that of its next pick, a round trip, before the primary is asked.
-        if picked.is_none() && self.deployment.probes && !primary_only && (asked || unsure.is_some()) {
-            if let (false, Some((_, index))) = (asked, unsure) {
-                self.ask(now, index);
-            }
-            self.chance = chance;
-            return self.hold(rpc);
-        }
+        let mut ask = unsure.filter(|_| !asked).map(|(_, index)| index);
+        let waits = picked.is_none() && self.deployment.probes && (asked || ask.is_some());
         // The spill, which leaves the writes their place.
         let share = if primary_only { 1.0 } else { READ_SHARE };
-        let group = &self.fleet.groups[group_index];
         if picked.is_none()
+            && !waits
             && let Some(index) = group.primary
             && self.usable(now, index, rpc)
             && self.fleet.member(index).misses == 0
             && self.room(now, index, rpc, share * spare)
         {
+            // All routers that write load it, and each sees its own few answers only: it is asked first.
+            let silent = self.fleet.member(index).probe_sent.is_some_and(|sent| now - sent >= ASK_WAIT);
             match self.crowded(now, self.fleet.member(index)) {
-                Some(true) => self.ask(now, index),
-                // All routers that write load it, and each sees its own few answers only: it is asked first.
-                None if self.fleet.member(index).probe_sent.is_none_or(|sent| now - sent < ASK_WAIT) => {
-                    self.ask(now, index);
-                    return self.hold(rpc);
-                }
-                _ => picked = Some((0.0, 0.0, index)),
+                Some(crowded) if crowded => ask = Some(index),
+                None if !silent => ask = Some(index),
+                _ => picked = Some(index),
             }
         }
         // No primary, and no lag is known for want of one: where members check, the most advanced replica.
-        if picked.is_none()
-            && self.fleet.groups[group_index].primary.is_none()
-            && self.deployment.checks != Checks::Off
-            && !primary_only
-        {
-            let unknown =
-                |index: &usize| self.fleet.member(*index).lag.is_none() && self.usable(now, *index, rpc);
-            let replicas = self.fleet.groups[group_index].members.iter().copied().filter(unknown);
-            picked = replicas
-                .max_by_key(|&index| self.fleet.member(index).position)
-                .map(|index| (0.0, 0.0, index));
+        let leaderless = group.primary.is_none() && self.deployment.checks != Checks::Off && !primary_only;
+        if picked.is_none() && !waits && leaderless {
+            let unknown = |&&i: &&usize| self.fleet.member(i).lag.is_none() && self.usable(now, i, rpc);
+            let replicas = group.members.iter().filter(unknown);
+            picked = replicas.max_by_key(|&&index| self.fleet.member(index).position).copied();
         }
         self.chance = chance;
+        if let (None, Some(index)) = (picked, ask) {
+            self.ask(now, index);
+        }
         match picked {
-            Some((_, _, index)) => self.call_out(now, rpc, index),
-            None if repeat => self.give_up(now, rpc),
+            Some(index) => self.call_out(now, rpc, index),
+            None if repeat && !waits => self.give_up(now, rpc),
             None => self.hold(rpc),
         }
     }
@@ -317,7 +301,7 @@
         };
         let over = now + self.rows[state.arrival.method as usize].usual >= self.wanted_by(rpc);
         let longest = self.deployment.longest_come_back;
-        let part = COME_BACK + COME_BACK_SPREAD * self.chance.generate::<f64>();
+        let part = COME_BACK * (0.5 + self.chance.generate::<f64>());
         let come_back = if over { longest } else { longest * part };
         self.rpcs.close(rpc);
         if harmless { Decision::PushBack { come_back } } else { Decision::Abort }
@@ -327,10 +311,8 @@
     fn wanted_by(&self, rpc: Rpc) -> Time {
         let state = &self.rpcs[rpc];
         let method = &self.rows[state.arrival.method as usize].method;
-        match method.late > 0.0 {
-            true => state.arrival.due,
-            false => state.arrival.due.min(state.taken + method.soft_deadline),
-        }
+        let soft = state.taken + method.soft_deadline;
+        if method.late > 0.0 { state.arrival.due } else { state.arrival.due.min(soft) }
     }
 
     /// May anything be sent to it now, and this RPC in particular? Not where its answer would come too late.
@@ -363,13 +345,13 @@
         excess <= Span::ZERO || now - member.told_at >= CATCH_UP_LEAST.max(excess * CATCH_UP)
     }
 
-    /// Is there room within this share of its in-flight limit? Below one, the limit is kept by leaving a
-    /// member idle between call-outs, so that many routers with little traffic do not jam it together.
+    /// Is there room within this share of its in-flight limit? Below one, a limit is kept by leaving a member
+    /// idle between call-outs, so that many routers with little traffic do not jam it together.
     fn room(&self, now: Time, index: usize, rpc: Rpc, share: f64) -> bool {
-        let method = self.rpcs[rpc].arrival.method;
         let member = self.fleet.member(index);
         let limit = member.limit * share;
-        let idle_for = self.expected(now, member, method) * (1.0 / limit);
+        let usual = self.rows[self.rpcs[rpc].arrival.method as usize].usual;
+        let idle_for = usual * (self.stretch(now, member, 4) / limit);
         self.in_flight(now, member) < limit.max(1.0) && (limit >= 1.0 || now - member.sent_at >= idle_for)
     }
 
@@ -408,18 +390,9 @@
         self.rows.iter().map(|row| row.usual).min().unwrap_or(Span::ZERO)
     }
 
-    /// Much longer than the other methods' answers.
-    fn is_long(&self, method: u32) -> bool {
-        self.rows[method as usize].usual > self.least_usual() * LONG
-    }
-
-    /// In flight, and what recent failures and an unusual silence add to it: a member that fails fast or
-    /// stands still must not look idle.
+    /// In flight, and what recent failures add to it: a member that fails fast must not look idle.
     fn load(&self, now: Time, member: &Member) -> f64 {
-        let (failures, _) = member.failures.last(now, 4);
-        let silent = if member.out.is_empty() { Span::ZERO } else { now - member.silent_from };
-        let silence = (silent.secs() / self.least_usual().secs().max(1e-4) - SILENCE).max(0.0).floor();
-        self.in_flight(now, member) + failures * FAILURE_LOAD + silence
+        self.in_flight(now, member) + member.failures.last(now, 4).0 * FAILURE_LOAD
     }
 
     /// A call-out far past its time, though the member has answered one that was sent later, was lost on the
@@ -432,16 +405,11 @@
         member.out.iter().filter(|&&(sent, method)| !self.is_lost(now, member, sent, method)).count() as f64
     }
 
-    /// Answer time to expect of it: the method's usual one, stretched as its recent answers were.
-    fn expected(&self, now: Time, member: &Member, method: u32) -> Span {
-        self.rows[method as usize].usual * self.stretch(now, member, 4)
-    }
-
     /// Present answer time over the usual one; where few answers tell, those of all members stand in.
     fn stretch(&self, now: Time, member: &Member, back: usize) -> f64 {
         let (count, sum) = member.stretch.last(now, back);
         let (all, total) = self.stretch.last(now, 4);
-        (sum + 3.0 * (total + 4.0) / (all + 3.0)) / (count + 3.0)
+        (sum + STAND_IN * (total + 4.0) / (all + 3.0)) / (count + STAND_IN)
     }
 
     /// A cold member is in the pick for a part of the RPCs only: its ramp, of a fair share of the group at its
@@ -517,11 +485,8 @@
             self.fleet.add(member);
         }
         let subtle = self.deployment.soft_removal && entry.standing == Standing::Off;
-        let role_told = match self.deployment.role_in_list {
-            RoleInList::Off => false,
-            RoleInList::Start => now == self.started,
-            RoleInList::Late => true,
-        };
+        let told = self.deployment.role_in_list;
+        let role_told = told == RoleInList::Late || told == RoleInList::Start && now == self.started;
         let member = self.fleet.member_mut(index);
         if !subtle {
             member.standing = entry.standing;
@@ -560,10 +525,8 @@
         let state = &mut self.fleet.groups[group];
         if best != state.primary {
             (state.primary, state.primary_at) = (best, now);
-            self.notes.push(match best {
-                Some(index) => format!("group {group}: primary is #{index}"),
-                None => format!("group {group}: no primary"),
-            });
+            let named = best.map_or("unknown".to_owned(), |index| format!("#{index}"));
+            self.notes.push(format!("group {group}: primary is {named}"));
         }
     }
 
@@ -587,17 +550,10 @@
         if let Some(position) = report.position {
             let age = now - position;
             self.fleet.member_mut(index).report_age = Some(age);
-            let primary = self.fleet.groups[group].primary;
             // Reports may be late: the primary's, which stands at the present, shows by how much.
+            let primary = self.fleet.groups[group].primary;
             let late = primary.map(|p| self.fleet.member(p).report_age.unwrap_or(Span::ZERO));
-            for nth in 0..self.fleet.groups[group].members.len() {
-                let other = self.fleet.groups[group].members[nth];
-                let member = self.fleet.member_mut(other);
-                if other == index || primary == Some(index) && now - member.told_at < NEWS_AGE {
-                    let lag = |age: Span| late.map(|late| (age - late).max(Span::ZERO));
-                    member.lag = member.report_age.and_then(lag);
-                }
-            }
+            self.fleet.member_mut(index).lag = late.map(|late| (age - late).max(Span::ZERO));
             self.told_position(now, index, position);
         }
         let member = self.fleet.member_mut(index);
@@ -630,7 +586,7 @@
             member.cold_from = if now - member.miss_from > LONG_GONE { Some(now) } else { member.cold_from };
             self.notes.push(format!("#{index} is back"));
         }
-        (member.misses, member.silent_from) = (0, now);
+        member.misses = 0;
     }
 
     fn missed(&mut self, now: Time, index: usize) {
--- a/crates/ladderpass-core/src/state.rs
+++ b/crates/ladderpass-core/src/state.rs
@@ -20,8 +20,6 @@
     pub lag: Option<Span>,
     /// Call-outs that are out: when they were sent, and their method.
     pub out: Vec<(Time, u32)>,
-    /// Since when nothing was heard while something was in flight.
-    pub silent_from: Time,
     pub sent_at: Time,
     pub misses: u32,
     pub miss_from: Time,
@@ -146,7 +144,6 @@
             report_age: None,
             lag: None,
             out: Vec::new(),
-            silent_from: Time::NEVER,
             sent_at: Time::NEVER,
             misses: 0,
             miss_from: Time::NEVER,
@@ -166,9 +163,6 @@
 
     /// A call-out goes to it.
     pub fn called_out(&mut self, now: Time, method: u32, usual: Span) {
-        if self.out.is_empty() {
-            self.silent_from = now;
-        }
         self.out.push((now, method));
         self.sent_at = now;
         self.sent.add(now, usual.secs());
--- a/crates/ladderpass-core/tests/common/mod.rs
+++ b/crates/ladderpass-core/tests/common/mod.rs
@@ -52,3 +52,14 @@
         _ => None,
     }
 }
+
+pub fn outcome(member: u32, ended: Ended, took_ms: i64) -> Outcome {
+    Outcome {
+        member: MemberId(member),
+        ended,
+        took: Span::from_millis(took_ms),
+        complete: ended == Ended::Ok,
+        role: None,
+        position: None,
+    }
+}
