--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -37,8 +37,9 @@
 const ANY_BOUND: Span = Span::from_millis(30_000);
 /// How long a fresh router holds RPCs for the first answers.
 const FIRST_ANSWERS: Span = Span::from_millis(300);
-/// A failed call-out weighs in the pick like this many in flight, for as long as its ring reaches back.
+/// A failed call-out weighs in the pick like this many in flight; silence past so many answer times, by each.
 const FAILURE_LOAD: f64 = 2.0;
+const SILENCE: f64 = 3.0;
 /// Share of an in-flight limit that reads may use on the primary, and marked repeats of reads anywhere.
 const READ_SHARE: f64 = 0.3;
 const REPEAT_SHARE: f64 = 0.1;
@@ -49,8 +50,9 @@
 const TURN_SPREAD: f64 = 1.0;
 /// Answer times spread: this multiple of the usual one must fit.
 const MARGIN: f64 = 1.5;
-/// Width of the buckets in which answers and failures are counted; answers of all that stand in for a member's.
+/// Width of the buckets of present answers, and of usual ones; how many answers of all stand in for its own.
 const MEASURE: Span = Span::from_millis(500);
+const USUAL: Span = Span::from_millis(5000);
 const STAND_IN: f64 = 3.0;
 /// A call-out that takes this multiple of the usual time while others are answered was lost.
 const LOST: f64 = 12.0;
@@ -66,8 +68,8 @@
 const LIMIT_CUT: f64 = 0.65;
 /// The shortest answer time is taken to be no more than this part of the soft deadline.
 const SOFT_PART: f64 = 0.2;
-/// What a cold primary gets of the writes, in multiples of its ramp, and over how many times the span in which
-/// it could fall over it takes up what waited; what a cold replica gets of the reads, in fair shares.
+/// What a cold primary gets of the writes, in ramps, and over how many times the span in which it could fall
+/// over it takes up what waited; what a cold replica gets of the reads, in fair shares.
 const COLD_WRITES: f64 = 1.5;
 const COLD_SPREAD: f64 = 3.0;
 const COLD_READS: f64 = 2.0;
@@ -108,11 +110,7 @@
             rows: deployment
                 .methods
                 .iter()
-                .map(|method| Row {
-                    usual: method.soft_deadline * SOFT_PART,
-                    method: method.clone(),
-                    answers: Ring::new(Span::from_millis(5000)),
-                })
+                .map(|m| Row::new(m, m.soft_deadline * SOFT_PART, USUAL))
                 .collect(),
             ask_at: deployment.must_ask.map(|_| now),
             deployment,
@@ -187,8 +185,8 @@
             if Some(index) == group.primary || Some(index) == kept_clear || !self.usable(now, index, rpc) {
                 continue;
             }
-            // Any data will do, within reason: only a lag that was told leaves one out. Long reads, which stop
-            // the log of the replica that holds them, take the one that is furthest behind already.
+            // Any data will do, within reason: a lag that was told leaves one out. Long reads stop the log of
+            // the replica that holds them: they take the one that is furthest behind already.
             let passes = match level {
                 Level::Any => long || member.lag.is_none_or(|lag| lag < ANY_BOUND),
                 _ => self.current(now, member, needs),
@@ -320,9 +318,11 @@
         let member = self.fleet.member(index);
         let state = &self.rpcs[rpc];
         let usual = self.rows[state.arrival.method as usize].usual;
+        let (count, sum) = member.stretch.last(now, 4);
+        let own = (sum + STAND_IN) / (count + STAND_IN);
         member.standing == Standing::On
             && member.misses < MISSES_TO_DROP
-            && now + usual * MARGIN < self.wanted_by(rpc)
+            && now + usual * (own * MARGIN) < self.wanted_by(rpc)
             && !(state.tried.contains(&index) && now - state.ended < usual)
             && self.warm_enough(now, index, rpc)
     }
@@ -385,14 +385,15 @@
         (member.lag.unwrap_or(now - member.position).secs() / LAG_STEP).floor()
     }
 
-    /// The shortest method's usual answer time.
     fn least_usual(&self) -> Span {
         self.rows.iter().map(|row| row.usual).min().unwrap_or(Span::ZERO)
     }
 
-    /// In flight, and what recent failures add to it: a member that fails fast must not look idle.
+    /// In flight, and what recent failures and silence add: one that fails fast or stands still is not idle.
     fn load(&self, now: Time, member: &Member) -> f64 {
-        self.in_flight(now, member) + member.failures.last(now, 4).0 * FAILURE_LOAD
+        let silent = if member.out.is_empty() { Span::ZERO } else { now - member.silent_from };
+        let silence = (silent.secs() / self.least_usual().secs().max(1e-4) - SILENCE).max(0.0).floor();
+        self.in_flight(now, member) + member.failures.last(now, 4).0 * FAILURE_LOAD + silence
     }
 
     /// A call-out far past its time, though the member has answered one that was sent later, was lost on the
@@ -412,8 +413,8 @@
         (sum + STAND_IN * (total + 4.0) / (all + 3.0)) / (count + STAND_IN)
     }
 
-    /// A cold member is in the pick for a part of the RPCs only: its ramp, of a fair share of the group at its
-    /// largest. If each router keeps that, so does their sum, whatever traffic they have and however few members
+    /// A cold member is in the pick for a part of the RPCs only: its ramp, of a fair share of the group at
+    /// its largest. If each router keeps that, so does their sum, whatever traffic they have and however few
     /// are left. Writes have nowhere else to go; what waited for a cold primary does not come all at once.
     fn warm_enough(&self, now: Time, index: usize, rpc: Rpc) -> bool {
         let Some(ramp) = self.ramp(now, self.fleet.member(index)) else { return true };
@@ -452,8 +453,7 @@
             ListNews::Changes(entries) => (entries, false),
         };
         if !matches!(news, ListNews::Remembered(_)) {
-            self.ask_at = None;
-            self.ask_failures = 0;
+            (self.ask_at, self.ask_failures) = (None, 0);
         }
         for entry in entries {
             self.listed(now, entry);
@@ -586,7 +586,7 @@
             member.cold_from = if now - member.miss_from > LONG_GONE { Some(now) } else { member.cold_from };
             self.notes.push(format!("#{index} is back"));
         }
-        member.misses = 0;
+        (member.misses, member.silent_from) = (0, now);
     }
 
     fn missed(&mut self, now: Time, index: usize) {
--- a/crates/ladderpass-core/src/state.rs
+++ b/crates/ladderpass-core/src/state.rs
@@ -20,6 +20,8 @@
     pub lag: Option<Span>,
     /// Call-outs that are out: when they were sent, and their method.
     pub out: Vec<(Time, u32)>,
+    /// Since when nothing was heard while something was in flight.
+    pub silent_from: Time,
     pub sent_at: Time,
     pub misses: u32,
     pub miss_from: Time,
@@ -110,6 +112,12 @@
     pub usual: Span,
 }
 
+impl Row {
+    pub fn new(method: &Method, usual: Span, bucket: Span) -> Row {
+        Row { method: method.clone(), answers: Ring::new(bucket), usual }
+    }
+}
+
 /// An RPC that was taken, until it is answered and nothing of it is out.
 pub struct State {
     pub turn: u32,
@@ -144,6 +152,7 @@
             report_age: None,
             lag: None,
             out: Vec::new(),
+            silent_from: Time::NEVER,
             sent_at: Time::NEVER,
             misses: 0,
             miss_from: Time::NEVER,
@@ -163,6 +172,9 @@
 
     /// A call-out goes to it.
     pub fn called_out(&mut self, now: Time, method: u32, usual: Span) {
+        if self.out.is_empty() {
+            self.silent_from = now;
+        }
         self.out.push((now, method));
         self.sent_at = now;
         self.sent.add(now, usual.secs());
