--- a/crates/ladderpass-benchlink/src/lines.rs
+++ b/crates/ladderpass-benchlink/src/lines.rs
@@ -59,6 +59,8 @@
 pub struct ListLine<'a> {
     #[serde(rename = "Node", borrow)]
     pub node: Cow<'a, str>,
+    #[serde(rename = "ClassOfHost", borrow, default)]
+    pub kind: Cow<'a, str>,
     #[serde(rename = "IsPrimary", default)]
     pub primary: Option<f64>,
     #[serde(rename = "Shard")]
--- a/crates/ladderpass-benchlink/src/wire.rs
+++ b/crates/ladderpass-benchlink/src/wire.rs
@@ -35,6 +35,7 @@
     column_primary: Option<usize>,
     column_waiting: Option<usize>,
     nodes: Interned,
+    kinds: Interned,
     groups: HashMap<u64, u32>,
     sessions: Interned,
     /// Not yet concluded, or with a call-out still out.
@@ -204,6 +205,7 @@
 fn own(line: &ListLine) -> ListLine<'static> {
     ListLine {
         node: line.node.clone().into_owned().into(),
+        kind: line.kind.clone().into_owned().into(),
         primary: line.primary,
         group: line.group,
         standing: line.standing.clone().into_owned().into(),
@@ -232,6 +234,7 @@
             column_primary: column("x1"),
             column_waiting: column("q"),
             nodes: Interned::default(),
+            kinds: Interned::default(),
             groups: HashMap::new(),
             sessions: Interned::default(),
             rpcs: HashMap::new(),
@@ -389,6 +392,7 @@
                     other => return Err(format!("unknown StageState {other:?}")),
                 },
                 born: entry.born.filter(|&at| at != 0).map(Time::from_nanos),
+                kind: self.kinds.intern(&entry.kind),
             });
         }
         let news = match &*how {
--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -53,6 +53,7 @@
 /// Width of the buckets of present answers, and of usual ones; how many answers of all stand in for its own.
 const MEASURE: Span = Span::from_millis(500);
 const USUAL: Span = Span::from_millis(5000);
+const PACE: Span = Span::from_millis(2000);
 const STAND_IN: f64 = 3.0;
 /// A call-out that takes this multiple of the usual time while others are answered was lost.
 const LOST: f64 = 12.0;
@@ -178,13 +179,18 @@
         let long = level == Level::Any && row.usual > self.least_usual() * LONG;
         let mut chance = self.chance.clone();
         // The next pick among those that no news speaks for or against, and whether one is being asked.
-        let (mut unsure, mut asked): (Option<(f64, usize)>, bool) = (None, false);
+        let (mut unsure, mut asked): (Option<(f64, f64, usize)>, bool) = (None, false);
         let kept_clear = long.then(|| self.most_advanced(now, group_index)).flatten();
         for &index in if primary_only { &[][..] } else { &group.members } {
             let member = self.fleet.member(index);
             if Some(index) == group.primary || Some(index) == kept_clear || !self.usable(now, index, rpc) {
                 continue;
             }
+            let load = if long { -self.behind(now, member) } else { self.load(now, member) };
+            let next = row.usual.secs() * (1.0 + TURN_SPREAD * (chance.generate::<f64>() - 0.5));
+            let sent = member.sent.last(now, 8).1 / self.ramp(now, member).unwrap_or(1.0);
+            let slow = self.stretch(now, member, 8) * self.pace(now, member);
+            let turn = if long { 0.0 } else { (sent + next) * slow };
             // Any data will do, within reason: a lag that was told leaves one out. Long reads stop the log of
             // the replica that holds them: they take the one that is furthest behind already.
             let passes = match level {
@@ -192,14 +198,13 @@
                 _ => self.current(now, member, needs),
             };
             if !passes {
-                let load = self.load(now, member) + chance.generate::<f64>();
                 asked |= member.probe_sent.map_or(member.probe_at <= now, |sent| now - sent < ASK_WAIT);
                 if member.probe_sent.is_none()
                     && level != Level::Any
-                    && unsure.is_none_or(|(least, _)| load < least)
+                    && unsure.is_none_or(|(least, first, _)| (load, turn) < (least, first))
                     && self.may_have_caught_up(now, member, needs)
                 {
-                    unsure = Some((load, index));
+                    unsure = Some((load, turn, index));
                 }
                 continue;
             }
@@ -208,17 +213,13 @@
             {
                 continue;
             }
-            let load = if long { -self.behind(now, member) } else { self.load(now, member) };
-            let next = row.usual.secs() * (1.0 + TURN_SPREAD * (chance.generate::<f64>() - 0.5));
-            let sent = member.sent.last(now, 8).1 / self.ramp(now, member).unwrap_or(1.0);
-            let turn = if long { 0.0 } else { (sent + next) * self.stretch(now, member, 8) };
             if best.is_none_or(|(least, first, _)| (load, turn) < (least, first)) {
                 best = Some((load, turn, index));
             }
         }
         let mut picked = best.map(|(_, _, index)| index);
         // No news yet: the read waits for that of its next pick, a round trip, before the primary is asked.
-        let mut ask = unsure.filter(|_| !asked).map(|(_, index)| index);
+        let mut ask = unsure.filter(|_| !asked).map(|(_, _, index)| index);
         let waits = picked.is_none() && self.deployment.probes && (asked || ask.is_some());
         // The spill, which leaves the writes their place.
         let share = if primary_only { 1.0 } else { READ_SHARE };
@@ -413,6 +414,12 @@
         (sum + STAND_IN * (total + 4.0) / (all + 3.0)) / (count + STAND_IN)
     }
 
+    /// How slow its kind of machine has been: a small router hears from one member once in a minute.
+    fn pace(&self, now: Time, member: &Member) -> f64 {
+        let told = self.fleet.paces.get(member.kind as usize).map_or((0.0, 0.0), |pace| pace.last(now, 8));
+        (told.1 + STAND_IN) / (told.0 + STAND_IN)
+    }
+
     /// A cold member is in the pick for a part of the RPCs only: its ramp, of a fair share of the group at
     /// its largest. If each router keeps that, so does their sum, whatever traffic they have and however few
     /// are left. Writes have nowhere else to go; what waited for a cold primary does not come all at once.
@@ -488,6 +495,7 @@
         let told = self.deployment.role_in_list;
         let role_told = told == RoleInList::Late || told == RoleInList::Start && now == self.started;
         let member = self.fleet.member_mut(index);
+        member.kind = entry.kind;
         if !subtle {
             member.standing = entry.standing;
         }
@@ -610,9 +618,12 @@
         // A jam from the start on must not pass for the usual.
         let usual = usual.min(row.method.soft_deadline.secs() * SOFT_PART);
         row.usual = Span::from_secs_f64(usual);
-        self.stretch.add(now, took.secs() / usual.max(1e-6));
+        let stretch = took.secs() / usual.max(1e-6);
+        self.stretch.add(now, stretch);
         let member = self.fleet.member_mut(index);
-        member.stretch.add(now, took.secs() / usual.max(1e-6));
+        member.stretch.add(now, stretch);
+        let kind = member.kind;
+        self.fleet.reach_pace(kind, PACE).add(now, stretch);
         // The limit in flight follows shortest answer time over the present one.
         let ratio = 1.0 / self.stretch(now, self.fleet.member(index), 4).max(1.0);
         let used = self.in_flight(now, self.fleet.member(index)) + 1.0;
--- a/crates/ladderpass-core/src/interface.rs
+++ b/crates/ladderpass-core/src/interface.rs
@@ -106,6 +106,8 @@
     pub primary: bool,
     pub standing: Standing,
     pub born: Option<Time>,
+    /// Kind of machine, by the small index that the front gave it.
+    pub kind: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/ladderpass-core/src/state.rs
+++ b/crates/ladderpass-core/src/state.rs
@@ -8,6 +8,7 @@
 pub struct Member {
     pub id: MemberId,
     pub group: usize,
+    pub kind: u32,
     pub standing: Standing,
     /// Latest time at which it was shown to be the primary, and to be a replica.
     pub claim: Time,
@@ -60,9 +61,17 @@
 pub struct Fleet {
     pub members: Vec<Option<Member>>,
     pub groups: Vec<Group>,
+    /// Answer times over the usual ones, by kind of machine.
+    pub paces: Vec<Ring<8>>,
 }
 
 impl Fleet {
+    pub fn reach_pace(&mut self, kind: u32, bucket: Span) -> &mut Ring<8> {
+        let kind = kind as usize;
+        self.paces.resize_with(self.paces.len().max(kind + 1), || Ring::new(bucket));
+        &mut self.paces[kind]
+    }
+
     pub fn reach_group(&mut self, group: u32) -> &mut Group {
         let group = group as usize;
         self.groups.resize_with(self.groups.len().max(group + 1), Group::default);
@@ -144,6 +153,7 @@
         Member {
             id,
             group,
+            kind: 0,
             standing: Standing::On,
             claim: Time::NEVER,
             replica_at: Time::NEVER,
--- a/crates/ladderpass-core/tests/common/mod.rs
+++ b/crates/ladderpass-core/tests/common/mod.rs
@@ -34,7 +34,7 @@
 }
 
 pub fn entry(member: u32, primary: bool) -> Entry {
-    Entry { member: MemberId(member), group: 0, primary, standing: Standing::On, born: None }
+    Entry { member: MemberId(member), group: 0, primary, standing: Standing::On, born: None, kind: 0 }
 }
 
 pub fn probe(router: &mut Router, ms: i64, member: u32, position_ms: i64, primary: bool) {
