--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -15,7 +15,7 @@
 /// Periodic probes: a round at most this often, slower so that they stay within this share of the RPCs taken.
 const PROBE_EVERY: Span = Span::from_millis(1000);
 const PROBE_SHARE: f64 = 0.2;
-const PROBE_SLOWEST: Span = Span::from_millis(30_000);
+const PROBE_SLOWEST: Span = Span::from_millis(60_000);
 /// A member is asked at most this often; one that missed after the first span, doubled up to its eightfold.
 const PROBE_MISSED: Span = Span::from_millis(500);
 const PROBE_AGAIN: Span = Span::from_millis(200);
@@ -53,7 +53,6 @@
 /// Width of the buckets of present answers, and of usual ones; how many answers of all stand in for its own.
 const MEASURE: Span = Span::from_millis(500);
 const USUAL: Span = Span::from_millis(5000);
-const PACE: Span = Span::from_millis(2000);
 const STAND_IN: f64 = 3.0;
 /// A call-out that takes this multiple of the usual time while others are answered was lost.
 const LOST: f64 = 12.0;
@@ -94,13 +93,11 @@
     fleet: Fleet,
     rpcs: Slots,
     sessions: Sessions,
-    /// RPCs taken, and when the next probe is due.
     taken: Ring<8>,
     probes_at: Time,
     ask_at: Option<Time>,
     ask_failures: u32,
     notes: Vec<String>,
-    stretch: Ring<8>,
 }
 
 impl Router {
@@ -122,7 +119,6 @@
             sessions: Sessions::default(),
             ask_failures: 0,
             notes: Vec::new(),
-            stretch: Ring::new(MEASURE),
         }
     }
 
@@ -189,8 +185,7 @@
             let load = if long { -self.behind(now, member) } else { self.load(now, member) };
             let next = row.usual.secs() * (1.0 + TURN_SPREAD * (chance.generate::<f64>() - 0.5));
             let sent = member.sent.last(now, 8).1 / self.ramp(now, member).unwrap_or(1.0);
-            let slow = self.stretch(now, member, 8) * self.pace(now, member);
-            let turn = if long { 0.0 } else { (sent + next) * slow };
+            let turn = if long { 0.0 } else { (sent + next) * self.stretch(now, member, 8) };
             // Any data will do, within reason: a lag that was told leaves one out. Long reads stop the log of
             // the replica that holds them: they take the one that is furthest behind already.
             let passes = match level {
@@ -407,19 +402,14 @@
         member.out.iter().filter(|&&(sent, method)| !self.is_lost(now, member, sent, method)).count() as f64
     }
 
-    /// Present answer time over the usual one; where few answers tell, those of all members stand in.
+    /// Present answer time over the usual one; where few answers tell, those of its kind of machine stand in.
     fn stretch(&self, now: Time, member: &Member, back: usize) -> f64 {
         let (count, sum) = member.stretch.last(now, back);
-        let (all, total) = self.stretch.last(now, 4);
+        let (all, total) =
+            self.fleet.paces.get(member.kind as usize).map_or((0.0, 0.0), |p| p.last(now, back));
         (sum + STAND_IN * (total + 4.0) / (all + 3.0)) / (count + STAND_IN)
     }
 
-    /// How slow its kind of machine has been: a small router hears from one member once in a minute.
-    fn pace(&self, now: Time, member: &Member) -> f64 {
-        let told = self.fleet.paces.get(member.kind as usize).map_or((0.0, 0.0), |pace| pace.last(now, 8));
-        (told.1 + STAND_IN) / (told.0 + STAND_IN)
-    }
-
     /// A cold member is in the pick for a part of the RPCs only: its ramp, of a fair share of the group at
     /// its largest. If each router keeps that, so does their sum, whatever traffic they have and however few
     /// are left. Writes have nowhere else to go; what waited for a cold primary does not come all at once.
@@ -619,11 +609,10 @@
         let usual = usual.min(row.method.soft_deadline.secs() * SOFT_PART);
         row.usual = Span::from_secs_f64(usual);
         let stretch = took.secs() / usual.max(1e-6);
-        self.stretch.add(now, stretch);
         let member = self.fleet.member_mut(index);
         member.stretch.add(now, stretch);
         let kind = member.kind;
-        self.fleet.reach_pace(kind, PACE).add(now, stretch);
+        self.fleet.reach_pace(kind, MEASURE).add(now, stretch);
         // The limit in flight follows shortest answer time over the present one.
         let ratio = 1.0 / self.stretch(now, self.fleet.member(index), 4).max(1.0);
         let used = self.in_flight(now, self.fleet.member(index)) + 1.0;
