--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -130,7 +130,6 @@
         };
         self.taken.add(now, 1.0);
         let rpc = self.rpcs.open(now, arrival, written, self.chance.generate());
-        // Those that are held come first, in their order.
         let first = self.fleet.reach_group(arrival.group).held.is_empty();
         let decision = if first { self.place(now, rpc) } else { self.hold(rpc) };
         (rpc, decision)
@@ -252,8 +251,8 @@
     }
 
     fn ask_all(&mut self, now: Time, group: usize) {
-        (0..self.fleet.groups[group].members.len())
-            .for_each(|nth| self.ask(now, self.fleet.groups[group].members[nth]));
+        let members = self.fleet.groups[group].members.clone();
+        members.into_iter().for_each(|index| self.ask(now, index));
     }
 
     /// A probe of it is due now.
@@ -411,8 +410,9 @@
     }
 
     /// A cold member is in the pick for a part of the RPCs only: its ramp, of a fair share of the group at
-    /// its largest. If each router keeps that, so does their sum, whatever traffic they have and however few
-    /// are left. Writes have nowhere else to go; what waited for a cold primary does not come all at once.
+    /// its largest. If each router keeps that, so does their sum, however much each sends and however few are
+    /// left. Writes have nowhere else to go; what waited for a cold primary does not come all at once. Long
+    /// reads don't go to a newcomer, which is furthest behind.
     fn warm_enough(&self, now: Time, index: usize, rpc: Rpc) -> bool {
         let Some(ramp) = self.ramp(now, self.fleet.member(index)) else { return true };
         let state = &self.rpcs[rpc];
@@ -422,9 +422,9 @@
                 let spread = self.deployment.overload_for * COLD_SPREAD;
                 COLD_WRITES * ((now - group.primary_at).secs() / spread.secs().max(1e-3)).min(1.0)
             }
+            _ if self.rows[state.arrival.method as usize].usual > self.least_usual() * LONG => 0.0,
             _ => (COLD_READS / group.largest.max(1) as f64).min(1.0),
         };
-        // The same chance for an RPC at each look, another one for each member.
         (state.luck + index as f64 * 0.618) % 1.0 < ramp * part
     }
 
--- a/crates/ladderpass-core/tests/exceptions.rs
+++ b/crates/ladderpass-core/tests/exceptions.rs
@@ -99,6 +99,17 @@
     assert!(got[4] >= 1 && f64::from(got[4]) <= 0.5 * f64::from(got[1]), "{got:?}");
 }
 
+#[test]
+fn a_cold_member_gets_no_long_reads() {
+    let mut router = group_of(3, |_| {});
+    served(&mut router, 0, 1, 40, 20);
+    served(&mut router, 3, 1000, 10, 400);
+    router.list_news(at(6000), ListNews::Changes(&[Entry { born: Some(at(6000)), ..entry(4, false) }]));
+    probe(&mut router, 6001, 4, 0, false);
+    let to = |router: &mut Router| sent_to(router.take(at(6001), arrival(3, 6001)).1);
+    assert!((0..20).all(|_| to(&mut router) != Some(4)), "the newcomer is furthest behind");
+}
+
 #[test]
 fn a_member_back_from_a_long_absence_is_cold() {
     let mut router = group_of(3, |_| {});
