--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -227,7 +227,7 @@
             // All routers that write load it, and each sees its own few answers only: it is asked first.
             let silent = self.fleet.member(index).probe_sent.is_some_and(|sent| now - sent >= ASK_WAIT);
             match self.crowded(now, self.fleet.member(index)) {
-                Some(crowded) if crowded => ask = Some(index),
+                Some(true) => ask = Some(index),
                 None if !silent => ask = Some(index),
                 _ => picked = Some(index),
             }
@@ -251,8 +251,8 @@
     }
 
     fn ask_all(&mut self, now: Time, group: usize) {
-        let members = self.fleet.groups[group].members.clone();
-        members.into_iter().for_each(|index| self.ask(now, index));
+        let count = self.fleet.groups[group].members.len();
+        (0..count).for_each(|nth| self.ask(now, self.fleet.groups[group].members[nth]));
     }
 
     /// A probe of it is due now.
