Routers tell each other positions, roles and losses; probes that tell nothing are not awaited

Checked by a log of each probe with its cause: the first round at once (1.2 an RPC), primaries whose news was not shared, members behind a slow link asked each 4 s by each router, ask_all each 200 ms while a group has no primary. Changed: News between routers (told, share), a round of probes by turns, words of lost members count as one miss in the teller's zone, members of another zone weigh double in turn. Lines at fault: place (waits), probe_every, tend_probes, missed.

--- a/crates/ladderpass-benchlink/src/lines.rs
+++ b/crates/ladderpass-benchlink/src/lines.rs
@@ -51,6 +51,8 @@
     pub note: Option<i64>,
     #[serde(rename = "Pressure")]
     pub report: Option<Vec<Option<f64>>>,
+    #[serde(rename = "Payload", borrow)]
+    pub payload: Option<Cow<'a, str>>,
     #[serde(rename = "Handle")]
     pub handle: Option<i64>,
 }
@@ -61,6 +63,8 @@
     pub node: Cow<'a, str>,
     #[serde(rename = "ClassOfHost", borrow, default)]
     pub kind: Cow<'a, str>,
+    #[serde(rename = "Site", borrow, default)]
+    pub zone: Cow<'a, str>,
     #[serde(rename = "IsPrimary", default)]
     pub primary: Option<f64>,
     #[serde(rename = "Shard")]
--- /dev/null
+++ b/crates/ladderpass-benchlink/src/whisper.rs
@@ -0,0 +1,88 @@
+//! The text of a message between instances: a letter for the teller's zone, then nine for each word, of 64 kinds.
+//!
+//! It owns the form alone. It must never decide what is told, nor what a word is worth. A reader drops what it can't
+//! read, so that instances of another version do no harm.
+
+use ladderpass_core::{Span, Word};
+
+/// Most words in one message of 256 bytes.
+pub const MOST: usize = 28;
+const LETTERS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
+const MARK_LETTERS: usize = 5;
+const WORD_LETTERS: usize = 9;
+/// Times go in milliseconds, of which these bits are told: they come round after more than an hour.
+const TIME_BITS: u32 = 22;
+
+/// A node's mark, what is said of it, and a time from the common zero.
+pub type Told = (u32, Word, Span);
+const WORDS: [Word; 3] = [Word::Replica, Word::Primary, Word::Lost];
+
+fn put(text: &mut String, number: u64, letters: usize) {
+    for nth in (0..letters).rev() {
+        text.push(char::from(LETTERS[(number >> (6 * nth) & 63) as usize]));
+    }
+}
+
+fn take(letters: &[u8]) -> Option<u64> {
+    letters.iter().try_fold(0, |number, letter| {
+        let value = LETTERS.iter().position(|known| known == letter)?;
+        Some(number << 6 | value as u64)
+    })
+}
+
+pub fn write(zone: u32, words: impl Iterator<Item = Told>) -> String {
+    let mut text = String::new();
+    put(&mut text, u64::from(zone), 1);
+    for (mark, word, at) in words {
+        let word = WORDS.iter().position(|&known| known == word).unwrap_or_default() as u64;
+        // Rounded down: a position must not grow on the way.
+        let at = at.nanos().div_euclid(1_000_000).rem_euclid(1 << TIME_BITS) as u64;
+        put(&mut text, u64::from(mark), MARK_LETTERS);
+        put(&mut text, at << 2 | word, WORD_LETTERS - MARK_LETTERS);
+    }
+    text
+}
+
+/// The zone of a message that came at `now`, and its words, none of which can be later.
+pub fn read(text: &str, now: Span) -> Option<(u32, impl Iterator<Item = Told>)> {
+    let now = now.nanos().div_euclid(1_000_000);
+    let (zone, words) = text.as_bytes().split_at_checked(1)?;
+    let words = words.chunks_exact(WORD_LETTERS).filter_map(move |word| {
+        let (mark, rest) = (take(&word[..MARK_LETTERS])?, take(&word[MARK_LETTERS..])?);
+        let age = (now - (rest >> 2) as i64).rem_euclid(1 << TIME_BITS);
+        let word = *WORDS.get((rest & 3) as usize)?;
+        Some((mark as u32, word, Span::from_millis(now - age)))
+    });
+    Some((take(zone)? as u32, words))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_word_comes_back_as_it_was_told_or_a_little_older() {
+        for (mark, told_ms, now_ms) in [(0, 0, 0), (1 << 29, 5, 9), (12_345, 9_000_000, 9_000_100)] {
+            let at = Span::from_nanos(told_ms * 1_000_000 + 999_999);
+            for word in WORDS {
+                let text = write(63, [(mark, word, at)].into_iter());
+                assert_eq!(text.len(), 1 + WORD_LETTERS);
+                let (zone, words) = read(&text, Span::from_millis(now_ms + 1)).unwrap();
+                assert_eq!((zone, words.collect()), (63, vec![(mark, word, Span::from_millis(told_ms))]));
+            }
+        }
+        let full = write(0, (0..MOST as u32).map(|mark| (mark, Word::Lost, Span::ZERO)));
+        assert!(full.len() <= 256);
+    }
+
+    #[test]
+    fn what_cannot_be_read_is_dropped() {
+        let good = write(1, [(7, Word::Replica, Span::from_millis(3))].into_iter());
+        for text in ["", "short", "\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}", "#########", "AAAA AAAA"] {
+            let count = |text: &str| read(text, Span::from_millis(9)).map_or(0, |(_, words)| words.count());
+            assert_eq!(count(&format!("B{text}")), 0, "{text}");
+            assert_eq!(count(&format!("{good}{text}")), 1, "{text}");
+        }
+        assert!(read("", Span::ZERO).is_none() && read("\u{e9}", Span::ZERO).is_none());
+    }
+}
--- a/crates/ladderpass-benchlink/src/wire.rs
+++ b/crates/ladderpass-benchlink/src/wire.rs
@@ -1,11 +1,12 @@
 //! From events to calls on a router, and from its results to actions.
 
 use crate::lines::{Line, ListLine};
+use crate::whisper;
 use ladderpass_core::{
-    Arrival, Decision, Ended, Entry, ListNews, MemberId, Outcome, Report, Role, Router, Rpc, Span, Standing,
-    Time,
+    Arrival, Decision, Ended, Entry, ListNews, MemberId, News, Outcome, Report, Role, Router, Rpc, Span,
+    Standing, Time,
 };
-use ladderpass_deployment::{self as settings, names::Names, names::group_index};
+use ladderpass_deployment::{self as settings, names::Names, names::group_index, names::mark};
 use serde_json::Value;
 use std::collections::HashMap;
 use std::fmt::Write;
@@ -37,6 +38,11 @@
     column_waiting: Option<usize>,
     nodes: Names,
     kinds: Names,
+    zones: Names,
+    /// The letter of its own zone.
+    zone: u32,
+    /// Nodes by their mark; none where two have the same.
+    marks: HashMap<u32, Option<MemberId>>,
     groups: HashMap<u64, u32>,
     sessions: Names,
     /// Not yet concluded, or with a call-out still out.
@@ -183,6 +189,7 @@
         kind: line.kind.clone().into_owned().into(),
         primary: line.primary,
         group: line.group,
+        zone: line.zone.clone().into_owned().into(),
         standing: line.standing.clone().into_owned().into(),
         born: line.born,
     }
@@ -191,6 +198,8 @@
 impl Instance {
     fn new(salt: u64, info: &Value, now: Time) -> Result<Instance, Fault> {
         let facts = settings::read(info).map_err(|fault| format!("Info: {fault}"))?;
+        let mut zones = Names::default();
+        zones.intern(facts.zone.as_deref().unwrap_or_default());
         let column = |name: &str| facts.columns.iter().position(|c| c == name);
         Ok(Instance {
             column_position: column(settings::POSITION),
@@ -204,6 +213,9 @@
             told: facts.told,
             nodes: Names::default(),
             kinds: Names::default(),
+            zones,
+            zone: mark(facts.zone.as_deref().unwrap_or_default()) & 63,
+            marks: HashMap::new(),
             groups: HashMap::new(),
             sessions: Names::default(),
             rpcs: HashMap::new(),
@@ -243,7 +255,8 @@
                 }
                 Ok(())
             }
-            _ => Ok(()), // HEAD_RECEIVED and WHISPER: no method here streams, and routers share nothing
+            "WHISPER" => self.whisper(now, line),
+            _ => Ok(()), // HEAD_RECEIVED: no method here streams
         }
     }
 
@@ -341,6 +354,18 @@
         Ok(())
     }
 
+    /// What another instance was told; what can't be read, or names no node of this one's lists, is dropped.
+    fn whisper(&mut self, now: Time, line: Line) -> Result<(), Fault> {
+        let payload = need(line.payload, "Payload")?;
+        let Some((zone, words)) = whisper::read(&payload, now - self.zero) else { return Ok(()) };
+        for (mark, word, at) in words {
+            if let Some(member) = self.marks.get(&mark).copied().flatten() {
+                self.router.told(now, News { member, word, at: self.zero + at, near: zone == self.zone });
+            }
+        }
+        Ok(())
+    }
+
     fn fleet(
         &mut self,
         now: Time,
@@ -356,8 +381,14 @@
         let list = lists.get(&number).ok_or_else(|| format!("no ROSTER {number} before this"))?;
         let mut entries = Vec::with_capacity(list.len());
         for entry in list {
+            let member = MemberId(self.nodes.intern(&entry.node));
+            let mark = mark(&entry.node);
+            let known = self.marks.entry(mark).or_insert(Some(member));
+            *known = known.filter(|&other| other == member);
             entries.push(Entry {
-                member: MemberId(self.nodes.intern(&entry.node)),
+                member,
+                mark,
+                zone: self.zones.intern(&entry.zone),
                 group: group_index(&mut self.groups, entry.group),
                 primary: entry.primary.unwrap_or(0.0) >= 0.5,
                 standing: match &*entry.standing {
@@ -391,6 +422,14 @@
             let node = quoted(self.nodes.name(member.0));
             let _ = writeln!(out, r#"{{"kind":"TOUCH","Who":{who},"Node":{node}}}"#);
         }
+        for news in upkeep.tell.chunks(whisper::MOST) {
+            let words = news.iter().filter_map(|&news| {
+                let mark = mark(self.nodes.name(news.member.0));
+                self.marks.get(&mark).copied().flatten().map(|_| (mark, news.word, news.at - self.zero))
+            });
+            let text = quoted(&whisper::write(self.zone, words));
+            let _ = writeln!(out, r#"{{"kind":"PUBLISH","Who":{who},"Dest":-1,"Payload":{text}}}"#);
+        }
         if upkeep.ask_list {
             let _ = writeln!(out, r#"{{"kind":"OBSERVE","Who":{who},"Enable":true}}"#);
         }
--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -19,6 +19,12 @@
 const PROBE_AGAIN: Span = Span::from_millis(200);
 /// A probe that has told nothing for this long is taken for lost.
 const PROBE_LOST: Span = Span::from_millis(1500);
+/// A member's news is told to the other routers once the last is older than this part of the least bound, or
+/// than this where the group has no primary. A round that routers share goes by turns, this long each.
+const TELL_PART: f64 = 0.4;
+const TELL_LEADERLESS: Span = Span::from_millis(250);
+const TELL_SPREAD: f64 = 4.0;
+const SHARED_TURN: Span = Span::from_millis(50);
 /// A read that lacks news of the replicas is held while its next pick is probed, for this long.
 const ASK_WAIT: Span = Span::from_millis(60);
 /// What a probe told counts for this long; a lag past the bound for this part of the excess, and this long.
@@ -46,6 +52,8 @@
 const LAG_STEP: f64 = 0.5;
 /// Turns among equals are drawn by chance within this part of one RPC.
 const TURN_SPREAD: f64 = 1.0;
+/// A turn at a member of another zone weighs this much more.
+const FAR: f64 = 2.0;
 /// Answer times spread: this multiple of the usual one must fit.
 const MARGIN: f64 = 1.5;
 /// Width of the buckets of present answers, and of usual ones; how many answers of all stand in for its own.
@@ -113,6 +121,7 @@
     ask_failures: u32,
     notes: Vec<String>,
     forgotten: Vec<MemberId>,
+    tell: Vec<News>,
 }
 
 impl Router {
@@ -132,6 +141,7 @@
             ask_failures: 0,
             notes: Vec::new(),
             forgotten: Vec::new(),
+            tell: Vec::new(),
         }
     }
 
@@ -201,7 +211,11 @@
             return self.give_up(now, rpc);
         }
         // A fresh router waits for the first answers; its list may be old.
-        if !group.heard && self.deployment.probes && now - self.started < FIRST_ANSWERS {
+        if !group.heard
+            && self.deployment.probes
+            && self.deployment.probes_tell
+            && now - self.started < FIRST_ANSWERS
+        {
             self.ask_all(now, group_index);
             return self.hold(rpc);
         }
@@ -231,7 +245,8 @@
             let load = if long { -self.behind(now, member) } else { self.load(now, member) };
             let next = row.usual.secs() * (1.0 + TURN_SPREAD * (chance.generate::<f64>() - 0.5));
             let sent = member.sent.last(now, 8).1 / self.ramp(now, member).unwrap_or(1.0);
-            let turn = if long { 0.0 } else { (sent + next) * self.stretch(now, member, 8) };
+            let far = if member.zone == 0 { 1.0 } else { FAR };
+            let turn = if long { 0.0 } else { (sent + next) * self.stretch(now, member, 8) * far };
             // Any data will do, within reason: a lag that was told leaves one out. Long reads stop the log of
             // the replica that holds them: they take the one that is furthest behind already.
             let passes = match level {
@@ -244,6 +259,7 @@
                     && level != Level::Any
                     && unsure.is_none_or(|(least, first, _)| (load, turn) < (least, first))
                     && self.may_have_caught_up(now, member, needs)
+                    && self.told_soon(index) <= now
                 {
                     unsure = Some((load, turn, index));
                 }
@@ -261,7 +277,10 @@
         let mut picked = best.map(|(_, _, index)| index);
         // No news yet: the read waits for that of its next pick, a round trip, before the primary is asked.
         let mut ask = unsure.filter(|_| !asked).map(|(_, _, index)| index);
-        let waits = picked.is_none() && self.deployment.probes && (asked || ask.is_some());
+        let waits = picked.is_none()
+            && self.deployment.probes_tell
+            && self.deployment.probes
+            && (asked || ask.is_some());
         // The spill, which leaves the writes their place.
         let share = if primary_only { 1.0 } else { READ_SHARE };
         if picked.is_none()
@@ -302,13 +321,30 @@
         (0..count).for_each(|nth| self.ask(now, self.fleet.groups[group].members[nth]));
     }
 
+    /// What another router is told soon reaches this one: those that want news of a member ask it by turns.
+    fn told_soon(&self, index: usize) -> Time {
+        let part = 1.0 + TELL_SPREAD * self.turn(index) / f64::from(self.deployment.routers.max(1));
+        let wait = if self.deployment.peers { TELL_LEADERLESS * part } else { Span::ZERO };
+        self.fleet.member(index).told_at + wait
+    }
+
+    /// The turn of this router to ask a member: another order for each news of it, so that none is always first.
+    fn turn(&self, index: usize) -> f64 {
+        let member = self.fleet.member(index);
+        let order = (member.shared.nanos() / 1_000_000) as u64 ^ u64::from(member.mark) << 20;
+        let turn = u64::from(self.deployment.me) + WyRand::new_seed(order).generate::<u64>() / 2;
+        (turn % u64::from(self.deployment.routers.max(1))) as f64
+    }
+
     /// A probe of it is due now.
     fn ask(&mut self, now: Time, index: usize) {
         // Not more often than it can have news, nor than it can bear where all routers ask.
         let drained = self.least_usual() * (self.fleet.member(index).waiting.unwrap_or(0.0) * DRAIN);
+        let told = self.told_soon(index);
         let member = self.fleet.member_mut(index);
         if member.probe_sent.is_none() {
-            member.probe_at = member.probe_at.min(now.max(member.probed_at + PROBE_AGAIN.max(drained)));
+            let due = told.max(member.probed_at + PROBE_AGAIN.max(drained));
+            member.probe_at = member.probe_at.min(now.max(due));
             self.probes_at = self.probes_at.min(member.probe_at);
         }
     }
@@ -522,15 +558,22 @@
             let limit = LIMIT_START / f64::from(self.deployment.routers.max(1));
             let limit = limit.clamp(START_LEAST, START_MOST);
             let mut member = Member::new(entry.member, entry.group as usize, limit, MEASURE, sent);
-            member.probe_at = now + self.probe_every(now) * self.chance.generate::<f64>();
-            self.probes_at = self.probes_at.min(member.probe_at);
+            member.mark = entry.mark;
             self.fleet.add(member);
+            let first = if self.shares_probes() {
+                self.probe_span(now, index) - self.tell_every()
+            } else {
+                self.probe_every(now) * self.chance.generate::<f64>()
+            };
+            let member = self.fleet.member_mut(index);
+            member.probe_at = now + first.max(Span::ZERO);
+            self.probes_at = self.probes_at.min(member.probe_at);
         }
         let subtle = self.deployment.soft_removal && entry.standing == Standing::Off;
         let told = self.deployment.role_in_list;
         let role_told = told == RoleInList::Late || told == RoleInList::Start && now == self.started;
         let member = self.fleet.member_mut(index);
-        member.kind = entry.kind;
+        (member.kind, member.zone, member.mark) = (entry.kind, entry.zone, entry.mark);
         if !subtle {
             member.stands(now, entry.standing);
         }
@@ -543,7 +586,13 @@
     fn shown(&mut self, now: Time, index: usize, role: Role, at: Time) {
         self.fleet.member_mut(index).shown(role, at);
         let group = self.fleet.member(index).group;
+        let before = self.fleet.groups[group].primary;
         self.find_primary(now, group);
+        let after = self.fleet.groups[group].primary;
+        if role == Role::Primary && after == Some(index) && before != after {
+            self.fleet.member_mut(index).shared_at = Time::NEVER;
+            self.share(now, index, Word::Primary, at);
+        }
     }
 
     /// The member last called primary by the best evidence: its own word first, else the list's.
@@ -574,7 +623,7 @@
             // It is there, but has more probes than it takes, or nothing to report yet: no news of it.
             Ended::Ok | Ended::Overloaded => return self.answered(now, index),
             Ended::Broken => return self.ask(now, index), // its connection broke, or the answer was spoilt
-            _ => return self.missed(now, index),
+            _ => return self.missed(now, index, false),
         }
         let group = self.fleet.member(index).group;
         self.fleet.groups[group].heard = true;
@@ -586,6 +635,8 @@
             let late = primary.map(|p| self.fleet.member(p).report_age.unwrap_or(Span::ZERO));
             self.fleet.member_mut(index).lag = late.map(|late| (age - late).max(Span::ZERO));
             self.told_position(now, index, position);
+            let word = if report.primary == Some(true) { Word::Primary } else { Word::Replica };
+            self.share(now, index, word, position);
         }
         let member = self.fleet.member_mut(index);
         member.told_at = now;
@@ -600,8 +651,66 @@
         }
     }
 
+    /// What another router was told. A position once told stays true, however late, doubled or out of order its
+    /// news; one ahead of the clock is none. A member that no list has named stays unknown.
+    pub fn told(&mut self, now: Time, news: News) {
+        let index = news.member.0 as usize;
+        if !self.fleet.knows(news.member) || news.at > now {
+            return;
+        }
+        let member = self.fleet.member_mut(index);
+        let role = match news.word {
+            Word::Replica => Role::Replica,
+            Word::Primary => Role::Primary,
+            // It counts as one miss, where it is not a word of old and this router has heard nothing since.
+            Word::Lost => {
+                member.lost_at = now;
+                if news.near && now - news.at < LONG_GONE && member.silent_from < news.at {
+                    self.missed(now, index, true);
+                }
+                return;
+            }
+        };
+        (member.shared, member.shared_at, member.told_at) = (member.shared.max(news.at), now, now);
+        if role == Role::Replica && news.at > member.position {
+            member.lag = Some(now - news.at);
+        }
+        self.told_position(now, index, news.at);
+        if news.near && self.fleet.member(index).misses > 0 {
+            self.answered(now, index);
+        }
+        let group = self.fleet.member(index).group;
+        self.fleet.groups[group].heard = true;
+        self.fleet.member_mut(index).shown(role, news.at);
+        self.find_primary(now, group);
+    }
+
+    fn shares_probes(&self) -> bool {
+        self.deployment.peers && self.deployment.probes_tell
+    }
+
+    fn tell_every(&self) -> Span {
+        let bounds = self.rows.iter().filter_map(|row| match row.method.level {
+            Level::Bounded(bound) => Some(bound * TELL_PART),
+            _ => None,
+        });
+        bounds.min().unwrap_or(ANY_BOUND)
+    }
+
+    /// Tells the other routers what this one was told by the member itself, if they are not likely to know it.
+    fn share(&mut self, now: Time, index: usize, word: Word, at: Time) {
+        let group = &self.fleet.groups[self.fleet.member(index).group];
+        let step = if group.primary.is_none() { TELL_LEADERLESS } else { Span::MAX };
+        let step = step.min(self.tell_every());
+        let member = self.fleet.member_mut(index);
+        if self.deployment.peers && now - member.shared_at >= step {
+            (member.shared, member.shared_at) = (member.shared.max(at), now);
+            self.tell.push(News { member: member.id, word, at, near: true });
+        }
+    }
+
     fn told_position(&mut self, now: Time, index: usize, position: Time) {
-        let every = self.probe_every(now) * (0.75 + 0.5 * self.chance.generate::<f64>());
+        let every = self.probe_span(now, index);
         let member = self.fleet.member_mut(index);
         member.position = member.position.max(position);
         member.told_at = now;
@@ -620,13 +729,19 @@
         (member.misses, member.silent_from) = (0, now);
     }
 
-    fn missed(&mut self, now: Time, index: usize) {
+    fn missed(&mut self, now: Time, index: usize, heard: bool) {
+        let most = if self.deployment.peers { self.probe_every(now) } else { Span::ZERO };
         let member = self.fleet.member_mut(index);
         member.miss_from = if member.misses == 0 { now } else { member.miss_from };
         member.misses += 1;
-        member.probe_at = now + PROBE_MISSED * f64::from(1 << (member.misses - 1).min(3));
+        let again = PROBE_MISSED * f64::from(1 << (member.misses - 1).min(3));
+        member.probe_at = now + if member.misses < MISSES_TO_DROP { again } else { again.max(most) };
         self.probes_at = self.probes_at.min(member.probe_at);
         if member.misses == MISSES_TO_DROP {
+            if self.deployment.peers && !heard && now - member.lost_at >= LONG_GONE {
+                member.lost_at = now;
+                self.tell.push(News { member: member.id, word: Word::Lost, at: now, near: true });
+            }
             self.notes.push(format!("#{index} is left out: {MISSES_TO_DROP} misses in a row"));
         }
     }
@@ -697,6 +812,7 @@
         }
         upkeep.notes = std::mem::take(&mut self.notes);
         upkeep.forgotten = std::mem::take(&mut self.forgotten);
+        upkeep.tell = std::mem::take(&mut self.tell);
         upkeep.wake = Some(wake.max(now + self.deployment.tick));
         upkeep
     }
@@ -742,8 +858,17 @@
         round.max(PROBE_EVERY).min(PROBE_SLOWEST)
     }
 
+    /// Routers that tell each other share one round: by turns, another order for each position told, so that a
+    /// turn that is missed falls to the next.
+    fn probe_span(&mut self, now: Time, index: usize) -> Span {
+        let own = self.probe_every(now);
+        if !self.shares_probes() {
+            return own * (0.75 + 0.5 * self.chance.generate::<f64>());
+        }
+        (PROBE_EVERY.max(self.tell_every()) + SHARED_TURN * self.turn(index)).min(PROBE_SLOWEST)
+    }
+
     fn tend_probes(&mut self, now: Time, upkeep: &mut Upkeep) {
-        let every = self.probe_every(now);
         self.probes_at = now + PROBE_EVERY;
         for index in 0..self.fleet.members.len() {
             let Some(member) = &mut self.fleet.members[index] else { continue };
@@ -752,16 +877,20 @@
             }
             if member.probe_sent.is_some_and(|sent| now - sent > PROBE_LOST) {
                 member.probe_sent = None;
-                self.missed(now, index);
+                self.missed(now, index, false);
             }
-            let spread = 0.75 + 0.5 * self.chance.generate::<f64>();
+            let every = self.probe_span(now, index);
+            let shared = self.shares_probes();
             let member = self.fleet.member_mut(index);
-            // The round may have become shorter since.
-            member.probe_at = member.probe_at.min(member.probed_at.max(member.told_at) + every * spread);
+            // The round may have become shorter since; where it is shared, the first one goes by turns too.
+            let told_at = member.probed_at.max(member.told_at);
+            if told_at != Time::NEVER || !shared {
+                member.probe_at = member.probe_at.min(told_at + every);
+            }
             if member.probe_sent.is_none() && member.probe_at <= now {
                 member.probe_sent = Some(now);
                 member.probed_at = now;
-                member.probe_at = now + every * spread;
+                member.probe_at = now + every;
                 upkeep.probes.push(member.id);
             }
             let next = member.probe_sent.map_or(member.probe_at, |sent| sent + PROBE_LOST);
@@ -827,7 +956,7 @@
             }
             Ended::Unreachable => {
                 member.failures.add(now, 1.0);
-                self.missed(now, index);
+                self.missed(now, index, false);
             }
             Ended::Withdrawn | Ended::Void => {}
         }
@@ -841,6 +970,9 @@
             } else {
                 self.fleet.member_mut(index).lag = Some(now - position);
                 self.told_position(now, index, position);
+                if outcome.role == Some(Role::Replica) {
+                    self.share(now, index, Word::Replica, position);
+                }
             }
         }
         if let Some(role) = outcome.role {
--- a/crates/ladderpass-core/src/interface.rs
+++ b/crates/ladderpass-core/src/interface.rs
@@ -78,8 +78,13 @@
     /// The list comes only when it is asked for.
     pub must_ask: Option<Span>,
     pub probes: bool,
-    /// How many there are of this one's kind.
+    /// A probe's answer tells a position and the role, not life alone.
+    pub probes_tell: bool,
+    /// How many there are of this one's kind, and which of them this is.
     pub routers: u32,
+    pub me: u32,
+    /// Routers may tell each other what they were told.
+    pub peers: bool,
     pub callouts_cap: u32,
     pub longest_come_back: Span,
     /// Least time between two batches of events.
@@ -108,6 +113,10 @@
     pub born: Option<Time>,
     /// Kind of machine, by the small index that the front gave it.
     pub kind: u32,
+    /// Its zone, likewise; zero is the router's own.
+    pub zone: u32,
+    /// A number by which all routers know it.
+    pub mark: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -199,6 +208,24 @@
     pub waiting: Option<f64>,
 }
 
+/// What one router passes on to the others: what a member told it, or that it is out of its reach.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    Replica,
+    Primary,
+    Lost,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct News {
+    pub member: MemberId,
+    pub word: Word,
+    /// A position of a replica; when a primary was shown to be one, or a member was lost.
+    pub at: Time,
+    /// Its teller is in the zone of the router that hears it.
+    pub near: bool,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
     /// Send it to this member; None: no limit but the client's own.
@@ -218,6 +245,8 @@
 pub struct Upkeep {
     pub decisions: Vec<(Rpc, Decision)>,
     pub probes: Vec<MemberId>,
+    /// For all other routers of this one's kind.
+    pub tell: Vec<News>,
     /// Ask for the list, and to be told of its changes.
     pub ask_list: bool,
     pub notes: Vec<String>,
--- a/crates/ladderpass-core/src/state.rs
+++ b/crates/ladderpass-core/src/state.rs
@@ -10,6 +10,8 @@
     pub id: MemberId,
     pub group: usize,
     pub kind: u32,
+    pub zone: u32,
+    pub mark: u32,
     pub standing: Standing,
     /// Since when it has this standing.
     pub stands_from: Time,
@@ -19,6 +21,9 @@
     /// The list alone calls it primary.
     pub named: bool,
     pub position: Time,
+    /// The last that all routers were told of it, and when.
+    pub shared: Time,
+    pub shared_at: Time,
     /// Age of the position in its last probe, and its lag as last reckoned.
     pub report_age: Option<Span>,
     pub lag: Option<Span>,
@@ -29,6 +34,8 @@
     pub sent_at: Time,
     pub misses: u32,
     pub miss_from: Time,
+    /// When all routers were told that it is lost.
+    pub lost_at: Time,
     pub probe_sent: Option<Time>,
     pub probed_at: Time,
     pub probe_at: Time,
@@ -188,12 +195,16 @@
             id,
             group,
             kind: 0,
+            zone: 0,
+            mark: 0,
             standing: Standing::On,
             stands_from: Time::NEVER,
             claim: Time::NEVER,
             replica_at: Time::NEVER,
             named: false,
             position: Time::NEVER,
+            shared: Time::NEVER,
+            shared_at: Time::NEVER,
             report_age: None,
             lag: None,
             out: VecDeque::new(),
@@ -201,6 +212,7 @@
             sent_at: Time::NEVER,
             misses: 0,
             miss_from: Time::NEVER,
+            lost_at: Time::NEVER,
             probe_sent: None,
             probed_at: Time::NEVER,
             probe_at: Time::NEVER,
--- a/crates/ladderpass-core/tests/common/mod.rs
+++ b/crates/ladderpass-core/tests/common/mod.rs
@@ -22,7 +22,10 @@
         carried: true,
         must_ask: None,
         probes: true,
+        probes_tell: true,
         routers: 4,
+        me: 0,
+        peers: false,
         callouts_cap: 6,
         longest_come_back: Span::from_millis(500),
         tick: Span::from_millis(5),
@@ -34,7 +37,8 @@
 }
 
 pub fn entry(member: u32, primary: bool) -> Entry {
-    Entry { member: MemberId(member), group: 0, primary, standing: Standing::On, born: None, kind: 0 }
+    let (standing, born) = (Standing::On, None);
+    Entry { member: MemberId(member), group: 0, primary, standing, born, kind: 0, zone: 0, mark: member }
 }
 
 pub fn probe(router: &mut Router, ms: i64, member: u32, position_ms: i64, primary: bool) {
--- a/crates/ladderpass-deployment/src/lib.rs
+++ b/crates/ladderpass-deployment/src/lib.rs
@@ -26,6 +26,8 @@
     pub connect_within: Option<Span>,
     /// A connection idle for this long is closed by the member.
     pub idle_for: Option<Span>,
+    /// The zone of this instance.
+    pub zone: Option<String>,
     /// Most RPCs that an instance may hold.
     pub most_held: Option<u64>,
 }
@@ -42,6 +44,8 @@
     balancers: Option<u32>,
     contract: Contract,
     extra: Extra,
+    me: Option<u32>,
+    az: Option<String>,
     registry_mode: Option<String>,
     report: Option<ReportShape>,
     services: Vec<Service>,
@@ -55,6 +59,7 @@
     conn_idle: Option<i64>,
     connect_timeout: Option<i64>,
     max_retry_after: Option<i64>,
+    may_tell: Option<bool>,
     most_held: Option<u64>,
     probes: Option<bool>,
     retry_after: Option<bool>,
@@ -87,6 +92,14 @@
 #[serde(rename_all = "PascalCase")]
 struct ReportShape {
     columns: Option<Vec<String>>,
+    how: Option<String>,
+}
+
+impl ReportShape {
+    fn tells_position(&self) -> bool {
+        let told = self.columns.as_ref().is_none_or(|columns| columns.iter().any(|c| c == POSITION));
+        told && self.how.as_deref() != Some("off")
+    }
 }
 
 #[derive(Deserialize)]
@@ -142,6 +155,9 @@
         },
         routers: shape.balancers.unwrap_or(1),
         probes: allowed.probes.unwrap_or(false),
+        probes_tell: shape.report.as_ref().is_none_or(ReportShape::tells_position),
+        me: shape.me.unwrap_or(0),
+        peers: allowed.may_tell.unwrap_or(false),
         callouts_cap: allowed.attempts_cap.unwrap_or(1),
         longest_come_back: match allowed.retry_after {
             Some(true) => span("Allowed.MaxRetryAfter", allowed.max_retry_after)?,
@@ -161,6 +177,7 @@
         columns: shape.report.as_ref().and_then(|report| report.columns.clone()).unwrap_or_default(),
         connect_within: positive("Allowed.ConnectTimeout", allowed.connect_timeout)?,
         idle_for: positive("Allowed.ConnIdle", allowed.conn_idle)?,
+        zone: shape.az.clone(),
         most_held: allowed.most_held,
     })
 }
--- a/crates/ladderpass-deployment/src/names.rs
+++ b/crates/ladderpass-deployment/src/names.rs
@@ -57,6 +57,16 @@
     }
 }
 
+/// A number by which all routers know a name: the first bits of its FNV-1a hash.
+pub fn mark(name: &str) -> u32 {
+    let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    let hash = name.bytes().fold(0xcbf2_9ce4_8422_2325, mix);
+    ((hash ^ hash >> 32) & ((1 << MARK_BITS) - 1)) as u32
+}
+
+/// Bits of a mark: two of a hundred names have the same one once in two hundred thousand fleets.
+pub const MARK_BITS: u32 = 30;
+
 /// The index of a group's number: numbers need not be whole.
 pub fn group_index(groups: &mut HashMap<u64, u32>, number: f64) -> u32 {
     let next = groups.len() as u32;
--- a/crates/ladderpass/src/reducer/watch.rs
+++ b/crates/ladderpass/src/reducer/watch.rs
@@ -129,6 +129,8 @@
                 },
                 born: instance.born().filter(|_| !self.faulty.is(Faulty::IgnoresWarmUp)),
                 kind: self.kinds.intern(&instance.machine_type),
+                zone: 0,
+                mark: index,
             });
         }
         self.generation = listing.generation;
