--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -44,6 +44,8 @@
 /// A failed call-out weighs in the pick like this many in flight; silence past so many answer times, by each.
 const FAILURE_LOAD: f64 = 2.0;
 const SILENCE: f64 = 3.0;
+/// An RPC that so many members have answered with an error is at fault itself.
+const ERRORS: usize = 2;
 /// Share of an in-flight limit that reads may use on the primary, and marked repeats of reads anywhere.
 const READ_SHARE: f64 = 0.3;
 const REPEAT_SHARE: f64 = 0.1;
@@ -374,7 +376,8 @@
             Effect::Tokened { anywhere, .. } => anywhere || state.risked.is_none(),
             Effect::NonIdempotent => state.risked.is_none(),
         };
-        let over = now + self.rows[state.arrival.method as usize].usual >= self.wanted_by(rpc);
+        let over = now + self.rows[state.arrival.method as usize].usual >= self.wanted_by(rpc)
+            || state.failed.len() >= ERRORS;
         let longest = self.deployment.longest_come_back;
         let part = COME_BACK * (0.5 + self.chance.generate::<f64>());
         let come_back = if over { longest } else { longest * part };
@@ -470,7 +473,7 @@
     fn load(&self, now: Time, member: &Member) -> f64 {
         let silent = if member.out.is_empty() { Span::ZERO } else { now - member.silent_from };
         let silence = (silent.secs() / self.least_usual().secs().max(1e-4) - SILENCE).max(0.0).floor();
-        self.in_flight(now, member) + member.failures.last(now, 4).0 * FAILURE_LOAD + silence
+        self.in_flight(now, member) + member.failures.last(now, 4).1 * FAILURE_LOAD + silence
     }
 
     /// A call-out far past its time, though the member has answered one that was sent later, was lost on the
@@ -907,17 +910,31 @@
         let (arrival, sent) = (state.arrival, state.sent);
         state.came_back(now, index);
         let over = outcome.complete || !state.live;
+        let failed = match outcome.ended {
+            Ended::Ok => std::mem::take(&mut state.failed),
+            Ended::Failed => {
+                state.failed.push(index);
+                Vec::new()
+            }
+            _ => Vec::new(),
+        };
+        let at_fault = state.failed.len() >= ERRORS;
+        for index in failed {
+            router.fleet.members[index].iter_mut().for_each(|member| member.failures.add(now, 1.0));
+        }
         router.heard(now, index, &outcome, arrival, sent);
         if over {
             router.rpcs.close(self);
             return Decision::Done;
         }
-        if outcome.ended == Ended::Void {
-            return router.give_up(now, self);
-        }
-        if !matches!(outcome.ended, Ended::Unreachable | Ended::Overloaded | Ended::Absent) {
+        let ran =
+            !matches!(outcome.ended, Ended::Void | Ended::Unreachable | Ended::Overloaded | Ended::Absent);
+        if ran {
             router.rpcs[self].risked.get_or_insert(sent);
         }
+        if outcome.ended == Ended::Void || at_fault {
+            return router.give_up(now, self);
+        }
         router.place(now, self)
     }
 
@@ -945,7 +962,7 @@
                 self.fleet.groups[group].heard = true;
             }
             Ended::Failed | Ended::Overloaded | Ended::Broken | Ended::TimedOut => {
-                member.failures.add(now, 1.0);
+                member.failures.add(now, if outcome.ended == Ended::Failed { 0.0 } else { 1.0 });
                 let limit = member.limit * LIMIT_CUT;
                 if matches!(outcome.ended, Ended::Overloaded | Ended::TimedOut) && !lost {
                     self.cut(now, index, sent, limit);
--- a/crates/ladderpass-core/src/state.rs
+++ b/crates/ladderpass-core/src/state.rs
@@ -185,6 +185,8 @@
     pub risked: Option<Time>,
     /// Members that failed it or turned it away.
     pub tried: Vec<usize>,
+    /// Members that answered it with an error, which blames none before another has served it.
+    pub failed: Vec<usize>,
     /// Commit that a session read must see.
     pub written: Time,
 }
@@ -311,6 +313,7 @@
             ended: now,
             risked: None,
             tried: Vec::new(),
+            failed: Vec::new(),
             written,
         };
         let slot = self.free.pop().unwrap_or(self.states.len() as u32);
