--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -443,7 +443,13 @@
 
     /// A replica whose lag nears the bound is crowded: it gets less, so that it can catch up.
     fn headroom(&self, now: Time, member: &Member, needs: Time) -> f64 {
-        let part = member.lag.map_or(0.0, |lag| lag.secs() / (now - needs).secs().max(1e-6));
+        // Reads of any data crowd it just as well; without a primary it stands still whatever it gets.
+        let any = needs == Time::NEVER;
+        if any && (self.fleet.groups[member.group].primary.is_none() || now - member.told_at > NEWS_AGE) {
+            return 1.0;
+        }
+        let bound = if any { self.least_bound() } else { now - needs };
+        let part = member.lag.map_or(0.0, |lag| lag.secs() / bound.secs().max(1e-6));
         (HEADROOM - part).clamp(0.1, 1.0)
     }
 
@@ -692,14 +698,18 @@
         self.deployment.peers && self.deployment.probes_tell
     }
 
-    fn tell_every(&self) -> Span {
+    fn least_bound(&self) -> Span {
         let bounds = self.rows.iter().filter_map(|row| match row.method.level {
-            Level::Bounded(bound) => Some(bound * TELL_PART),
+            Level::Bounded(bound) => Some(bound),
             _ => None,
         });
         bounds.min().unwrap_or(ANY_BOUND)
     }
 
+    fn tell_every(&self) -> Span {
+        self.least_bound() * TELL_PART
+    }
+
     /// Tells the other routers what this one was told by the member itself, if they are not likely to know it.
     fn share(&mut self, now: Time, index: usize, word: Word, at: Time) {
         let group = &self.fleet.groups[self.fleet.member(index).group];
