--- a/crates/ladderpass-benchlink/src/whisper.rs
+++ b/crates/ladderpass-benchlink/src/whisper.rs
@@ -1,4 +1,4 @@
-//! The text of a message between instances: a letter for the teller's zone, then nine for each word, of 64 kinds.
+//! The text of a message between instances: a letter for the teller's zone, then ten for each word, of 64 kinds.
 //!
 //! It owns the form alone. It must never decide what is told, nor what a word is worth. A reader drops what it can't
 //! read, so that instances of another version do no harm.
@@ -6,15 +6,18 @@
 use ladderpass_core::{Span, Word};
 
 /// Most words in one message of 256 bytes.
-pub const MOST: usize = 28;
+pub const MOST: usize = 25;
 const LETTERS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
 const MARK_LETTERS: usize = 5;
-const WORD_LETTERS: usize = 9;
+const WORD_LETTERS: usize = 10;
+/// Stretches go in steps of an eighth of a doubling, from a half; zero is not known.
+const STRETCH_FROM: f64 = 0.5;
+const STRETCH_STEPS: f64 = 8.0;
 /// Times go in milliseconds, of which these bits are told: they come round after more than an hour.
 const TIME_BITS: u32 = 22;
 
-/// A node's mark, what is said of it, and a time from the common zero.
-pub type Told = (u32, Word, Span);
+/// A node's mark, what is said of it, a time from the common zero, and its stretch.
+pub type Told = (u32, Word, Span, f64);
 const WORDS: [Word; 3] = [Word::Replica, Word::Primary, Word::Lost];
 
 fn put(text: &mut String, number: u64, letters: usize) {
@@ -33,12 +36,14 @@
 pub fn write(zone: u32, words: impl Iterator<Item = Told>) -> String {
     let mut text = String::new();
     put(&mut text, u64::from(zone), 1);
-    for (mark, word, at) in words {
+    for (mark, word, at, stretch) in words {
         let word = WORDS.iter().position(|&known| known == word).unwrap_or_default() as u64;
         // Rounded down: a position must not grow on the way.
         let at = at.nanos().div_euclid(1_000_000).rem_euclid(1 << TIME_BITS) as u64;
         put(&mut text, u64::from(mark), MARK_LETTERS);
-        put(&mut text, at << 2 | word, WORD_LETTERS - MARK_LETTERS);
+        put(&mut text, at << 2 | word, WORD_LETTERS - MARK_LETTERS - 1);
+        let steps = 1.0 + ((stretch / STRETCH_FROM).log2() * STRETCH_STEPS).round();
+        put(&mut text, if stretch > 0.0 { steps.clamp(1.0, 63.0) as u64 } else { 0 }, 1);
     }
     text
 }
@@ -48,10 +53,13 @@
     let now = now.nanos().div_euclid(1_000_000);
     let (zone, words) = text.as_bytes().split_at_checked(1)?;
     let words = words.chunks_exact(WORD_LETTERS).filter_map(move |word| {
-        let (mark, rest) = (take(&word[..MARK_LETTERS])?, take(&word[MARK_LETTERS..])?);
+        let (word, last) = word.split_at_checked(WORD_LETTERS - 1)?;
+        let (mark, rest) = word.split_at_checked(MARK_LETTERS)?;
+        let (mark, rest, steps) = (take(mark)?, take(rest)?, take(last)?);
+        let stretch = STRETCH_FROM * ((steps as f64 - 1.0) / STRETCH_STEPS).exp2();
         let age = (now - (rest >> 2) as i64).rem_euclid(1 << TIME_BITS);
         let word = *WORDS.get((rest & 3) as usize)?;
-        Some((mark as u32, word, Span::from_millis(now - age)))
+        Some((mark as u32, word, Span::from_millis(now - age), if steps > 0 { stretch } else { 0.0 }))
     });
     Some((take(zone)? as u32, words))
 }
@@ -65,19 +73,22 @@
         for (mark, told_ms, now_ms) in [(0, 0, 0), (1 << 29, 5, 9), (12_345, 9_000_000, 9_000_100)] {
             let at = Span::from_nanos(told_ms * 1_000_000 + 999_999);
             for word in WORDS {
-                let text = write(63, [(mark, word, at)].into_iter());
+                let text = write(63, [(mark, word, at, 2.0)].into_iter());
                 assert_eq!(text.len(), 1 + WORD_LETTERS);
                 let (zone, words) = read(&text, Span::from_millis(now_ms + 1)).unwrap();
-                assert_eq!((zone, words.collect()), (63, vec![(mark, word, Span::from_millis(told_ms))]));
+                assert_eq!(
+                    (zone, words.collect()),
+                    (63, vec![(mark, word, Span::from_millis(told_ms), 2.0)])
+                );
             }
         }
-        let full = write(0, (0..MOST as u32).map(|mark| (mark, Word::Lost, Span::ZERO)));
+        let full = write(0, (0..MOST as u32).map(|mark| (mark, Word::Lost, Span::ZERO, 1e9)));
         assert!(full.len() <= 256);
     }
 
     #[test]
     fn what_cannot_be_read_is_dropped() {
-        let good = write(1, [(7, Word::Replica, Span::from_millis(3))].into_iter());
+        let good = write(1, [(7, Word::Replica, Span::from_millis(3), 0.0)].into_iter());
         for text in ["", "short", "\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}", "#########", "AAAA AAAA"] {
             let count = |text: &str| read(text, Span::from_millis(9)).map_or(0, |(_, words)| words.count());
             assert_eq!(count(&format!("B{text}")), 0, "{text}");
--- a/crates/ladderpass-benchlink/src/wire.rs
+++ b/crates/ladderpass-benchlink/src/wire.rs
@@ -358,9 +358,10 @@
     fn whisper(&mut self, now: Time, line: Line) -> Result<(), Fault> {
         let payload = need(line.payload, "Payload")?;
         let Some((zone, words)) = whisper::read(&payload, now - self.zero) else { return Ok(()) };
-        for (mark, word, at) in words {
+        for (mark, word, at, stretch) in words {
             if let Some(member) = self.marks.get(&mark).copied().flatten() {
-                self.router.told(now, News { member, word, at: self.zero + at, near: zone == self.zone });
+                self.router
+                    .told(now, News { member, word, at: self.zero + at, near: zone == self.zone, stretch });
             }
         }
         Ok(())
@@ -425,7 +426,11 @@
         for news in upkeep.tell.chunks(whisper::MOST) {
             let words = news.iter().filter_map(|&news| {
                 let mark = mark(self.nodes.name(news.member.0));
-                self.marks.get(&mark).copied().flatten().map(|_| (mark, news.word, news.at - self.zero))
+                self.marks
+                    .get(&mark)
+                    .copied()
+                    .flatten()
+                    .map(|_| (mark, news.word, news.at - self.zero, news.stretch))
             });
             let text = quoted(&whisper::write(self.zone, words));
             let _ = writeln!(out, r#"{{"kind":"PUBLISH","Who":{who},"Dest":-1,"Payload":{text}}}"#);
--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -30,6 +30,8 @@
 /// What a probe told counts for this long; a lag past the bound for this part of the excess, and this long.
 const NEWS_AGE: Span = Span::from_millis(2000);
 const CATCH_UP: f64 = 0.5;
+/// A position that has not moved for this long stands still.
+const STANDS: Span = Span::from_millis(500);
 const CATCH_UP_LEAST: Span = Span::from_millis(250);
 /// RPCs waiting at a member past which it gets no more; each leaves in this part of an answer time.
 const WAITING: f64 = 0.5;
@@ -443,9 +445,9 @@
 
     /// A replica whose lag nears the bound is crowded: it gets less, so that it can catch up.
     fn headroom(&self, now: Time, member: &Member, needs: Time) -> f64 {
-        // Reads of any data crowd it just as well; without a primary it stands still whatever it gets.
+        // Reads of any data crowd it just as well; one that stands still wants a primary, not room.
         let any = needs == Time::NEVER;
-        if any && (self.fleet.groups[member.group].primary.is_none() || now - member.told_at > NEWS_AGE) {
+        if any && now - member.moved_at > STANDS {
             return 1.0;
         }
         let bound = if any { self.least_bound() } else { now - needs };
@@ -600,7 +602,7 @@
         let after = self.fleet.groups[group].primary;
         if role == Role::Primary && after == Some(index) && before != after {
             self.fleet.member_mut(index).shared_at = Time::NEVER;
-            self.share(now, index, Word::Primary, at);
+            self.share(now, index, Word::Primary, at, 0.0);
         }
     }
 
@@ -645,7 +647,7 @@
             self.fleet.member_mut(index).lag = late.map(|late| (age - late).max(Span::ZERO));
             self.told_position(now, index, position);
             let word = if report.primary == Some(true) { Word::Primary } else { Word::Replica };
-            self.share(now, index, word, position);
+            self.share(now, index, word, position, 0.0);
         }
         let member = self.fleet.member_mut(index);
         member.told_at = now;
@@ -681,6 +683,12 @@
             }
         };
         (member.shared, member.shared_at, member.told_at) = (member.shared.max(news.at), now, now);
+        if news.stretch > 0.0 {
+            member.learnt(now, news.stretch, false);
+            // Its answer came before it was told: it shows no more than a cut made since.
+            self.follow(now, index, now - self.least_usual() * news.stretch, false);
+        }
+        let member = self.fleet.member_mut(index);
         if role == Role::Replica && news.at > member.position {
             member.lag = Some(now - news.at);
         }
@@ -711,21 +719,23 @@
     }
 
     /// Tells the other routers what this one was told by the member itself, if they are not likely to know it.
-    fn share(&mut self, now: Time, index: usize, word: Word, at: Time) {
+    fn share(&mut self, now: Time, index: usize, word: Word, at: Time, stretch: f64) {
         let group = &self.fleet.groups[self.fleet.member(index).group];
         let step = if group.primary.is_none() { TELL_LEADERLESS } else { Span::MAX };
         let step = step.min(self.tell_every());
         let member = self.fleet.member_mut(index);
         if self.deployment.peers && now - member.shared_at >= step {
             (member.shared, member.shared_at) = (member.shared.max(at), now);
-            self.tell.push(News { member: member.id, word, at, near: true });
+            self.tell.push(News { member: member.id, word, at, near: true, stretch });
         }
     }
 
     fn told_position(&mut self, now: Time, index: usize, position: Time) {
         let every = self.probe_span(now, index);
         let member = self.fleet.member_mut(index);
-        member.position = member.position.max(position);
+        if position > member.position {
+            (member.position, member.moved_at) = (position, now);
+        }
         member.told_at = now;
         // An answer that has just told its position saves a probe.
         member.probe_at = member.probe_at.max(now + every);
@@ -753,7 +763,8 @@
         if member.misses == MISSES_TO_DROP {
             if self.deployment.peers && !heard && now - member.lost_at >= LONG_GONE {
                 member.lost_at = now;
-                self.tell.push(News { member: member.id, word: Word::Lost, at: now, near: true });
+                let (member, word) = (member.id, Word::Lost);
+                self.tell.push(News { member, word, at: now, near: true, stretch: 0.0 });
             }
             self.notes.push(format!("#{index} is left out: {MISSES_TO_DROP} misses in a row"));
         }
@@ -777,7 +788,11 @@
         if sent >= cut_at {
             self.fleet.reach_pace(kind, MEASURE).add(now, stretch);
         }
-        // The limit in flight follows shortest answer time over the present one.
+        self.follow(now, index, sent, true);
+    }
+
+    /// The limit in flight follows shortest answer time over the present one; what others met lowers it alone.
+    fn follow(&mut self, now: Time, index: usize, sent: Time, own: bool) {
         let ratio = 1.0 / self.stretch(now, self.fleet.member(index), 4).max(1.0);
         let used = self.in_flight(now, self.fleet.member(index)) + 1.0;
         let member = self.fleet.member_mut(index);
@@ -786,7 +801,7 @@
             // Where little is sent, a limit far above it would take long to bind.
             let cut = member.limit.min(used * 2.0) * 0.75 + wanted.min(used * 2.0) * 0.25;
             self.cut(now, index, sent, cut);
-        } else if used * 2.0 > member.limit {
+        } else if own && used * 2.0 > member.limit {
             member.limit = (member.limit * 0.75 + wanted * 0.25).min(LIMIT_MOST);
         }
     }
@@ -998,7 +1013,10 @@
                 self.fleet.member_mut(index).lag = Some(now - position);
                 self.told_position(now, index, position);
                 if outcome.role == Some(Role::Replica) {
-                    self.share(now, index, Word::Replica, position);
+                    let usual = self.rows[arrival.method as usize].usual.secs().max(1e-6);
+                    let ok = outcome.ended == Ended::Ok;
+                    let stretch = if ok { outcome.took.secs() / usual } else { 0.0 };
+                    self.share(now, index, Word::Replica, position, stretch);
                 }
             }
         }
--- a/crates/ladderpass-core/src/interface.rs
+++ b/crates/ladderpass-core/src/interface.rs
@@ -216,7 +216,7 @@
     Lost,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct News {
     pub member: MemberId,
     pub word: Word,
@@ -224,6 +224,8 @@
     pub at: Time,
     /// Its teller is in the zone of the router that hears it.
     pub near: bool,
+    /// Its answer time over the usual one, as its teller met it; zero: not known.
+    pub stretch: f64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/ladderpass-core/src/state.rs
+++ b/crates/ladderpass-core/src/state.rs
@@ -21,6 +21,8 @@
     /// The list alone calls it primary.
     pub named: bool,
     pub position: Time,
+    /// When it was last seen to move on.
+    pub moved_at: Time,
     /// The last that all routers were told of it, and when.
     pub shared: Time,
     pub shared_at: Time,
@@ -205,6 +207,7 @@
             replica_at: Time::NEVER,
             named: false,
             position: Time::NEVER,
+            moved_at: Time::NEVER,
             shared: Time::NEVER,
             shared_at: Time::NEVER,
             report_age: None,
