--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -58,6 +58,12 @@
 const TURN_SPREAD: f64 = 1.0;
 /// A turn at a member of another zone weighs this much more.
 const FAR: f64 = 2.0;
+/// What is learnt of the way to a zone counts for eight times this long; a member that is missed weighs like
+/// so many usual answer times; a way is troubled from this multiple of the times in its own zone.
+const WAY: Span = Span::from_millis(2500);
+const WAY_MISSED: f64 = 8.0;
+const WAY_TROUBLED: f64 = 2.0;
+const WAY_KNOWN: f64 = 8.0;
 /// Answer times spread: this multiple of the usual one must fit.
 const MARGIN: f64 = 1.5;
 /// Width of the buckets of present answers, and of usual ones; how many answers of all stand in for its own.
@@ -203,7 +209,8 @@
         // No effect twice: also where it was held, or never got through, since one that may have run.
         let may_run = match (row.method.effect, state.risked) {
             (Effect::Idempotent, _) | (_, None) => true,
-            (Effect::Tokened { window, .. }, Some(first)) => now - first < window,
+            // The repeat has the way and a queue ahead of it.
+            (Effect::Tokened { window, .. }, Some(first)) => now + row.usual * MARGIN - first < window,
             (Effect::NonIdempotent, Some(_)) => false,
         };
         // A call-out made now would end when its answer earns nothing any more, or when the client has gone.
@@ -354,11 +361,28 @@
     }
 
     fn call_out(&mut self, now: Time, rpc: Rpc, index: usize) -> Decision {
+        let limit = self.patience(now, rpc, index);
         let method = self.rpcs[rpc].arrival.method;
         self.rpcs[rpc].called_out(now);
         let member = self.fleet.member_mut(index);
         member.called_out(now, method, self.rows[method as usize].usual);
-        Decision::CallOut { member: member.id, limit: None }
+        Decision::CallOut { member: member.id, limit }
+    }
+
+    /// How long a first call-out is waited for, where a second one can still be answered in time and is allowed.
+    fn patience(&self, now: Time, rpc: Rpc, index: usize) -> Option<Span> {
+        let state = &self.rpcs[rpc];
+        let row = &self.rows[state.arrival.method as usize];
+        let again = row.usual * MARGIN;
+        let limit = match row.method.effect {
+            Effect::Idempotent => state.taken + row.method.soft_deadline - now - again,
+            Effect::Tokened { window, .. } => window - again * 2.0,
+            Effect::NonIdempotent => return None,
+        };
+        let zone = self.fleet.member(index).zone;
+        let met = self.fleet.ways.get(zone as usize).map_or(0.0, |way| way.last(now, 8).0);
+        let troubled = zone != 0 && (met < WAY_KNOWN || self.way(now, zone) > WAY_TROUBLED);
+        (troubled && state.callouts == 0 && limit >= row.usual * SILENCE).then_some(limit)
     }
 
     fn hold(&mut self, rpc: Rpc) -> Decision {
@@ -402,6 +426,7 @@
         let usual = self.rows[state.arrival.method as usize].usual;
         let (count, sum) = member.stretch.last(now, if member.out.is_empty() { 2 } else { 4 });
         let own = (sum + STAND_IN) / (count + STAND_IN);
+        let own = own.max(self.way(now, member.zone));
         member.standing == Standing::On
             && member.misses < MISSES_TO_DROP
             && now + usual * (own * MARGIN) < self.wanted_by(rpc)
@@ -477,6 +502,15 @@
         self.rows.iter().map(|row| row.usual).min().unwrap_or(Span::ZERO)
     }
 
+    /// Answer times from another zone over those from its own: a way that is slow or loses what goes there.
+    fn way(&self, now: Time, zone: u32) -> f64 {
+        let mean = |zone: u32| {
+            let (count, sum) = self.fleet.ways.get(zone as usize).map_or((0.0, 0.0), |way| way.last(now, 8));
+            (sum + STAND_IN) / (count + STAND_IN)
+        };
+        if zone == 0 { 1.0 } else { mean(zone) / mean(0).max(1.0) }
+    }
+
     /// In flight, and what recent failures and silence add: one that fails fast or stands still is not idle.
     fn load(&self, now: Time, member: &Member) -> f64 {
         let silent = if member.out.is_empty() { Span::ZERO } else { now - member.silent_from };
@@ -757,6 +791,7 @@
         let member = self.fleet.member_mut(index);
         member.miss_from = if member.misses == 0 { now } else { member.miss_from };
         member.misses += 1;
+        let (zone, first) = (member.zone, member.misses == 1 && !heard);
         let again = PROBE_MISSED * f64::from(1 << (member.misses - 1).min(3));
         member.probe_at = now + if member.misses < MISSES_TO_DROP { again } else { again.max(most) };
         self.probes_at = self.probes_at.min(member.probe_at);
@@ -768,6 +803,9 @@
             }
             self.notes.push(format!("#{index} is left out: {MISSES_TO_DROP} misses in a row"));
         }
+        if first {
+            self.fleet.reach_way(zone, WAY).add(now, WAY_MISSED);
+        }
     }
 
     fn learn_answer(&mut self, now: Time, index: usize, method: u32, sent: Time, took: Span) {
@@ -784,7 +822,8 @@
         let jammed = stretch <= QUICK && self.stretch(now, self.fleet.member(index), 4) > JAMMED;
         let member = self.fleet.member_mut(index);
         member.learnt(now, stretch, jammed);
-        let (kind, cut_at) = (member.kind, member.cut_at);
+        let (kind, cut_at, zone) = (member.kind, member.cut_at, member.zone);
+        self.fleet.reach_way(zone, WAY).add(now, stretch);
         if sent >= cut_at {
             self.fleet.reach_pace(kind, MEASURE).add(now, stretch);
         }
--- a/crates/ladderpass-core/src/state.rs
+++ b/crates/ladderpass-core/src/state.rs
@@ -78,9 +78,17 @@
     pub groups: Vec<Group>,
     /// Answer times over the usual ones, by kind of machine.
     pub paces: Vec<Ring<8>>,
+    /// The same by zone, over a longer time, with what was lost on the way.
+    pub ways: Vec<Ring<8>>,
 }
 
 impl Fleet {
+    pub fn reach_way(&mut self, zone: u32, bucket: Span) -> &mut Ring<8> {
+        let zone = zone as usize;
+        self.ways.resize_with(self.ways.len().max(zone + 1), || Ring::new(bucket));
+        &mut self.ways[zone]
+    }
+
     pub fn reach_pace(&mut self, kind: u32, bucket: Span) -> &mut Ring<8> {
         let kind = kind as usize;
         self.paces.resize_with(self.paces.len().max(kind + 1), || Ring::new(bucket));
