--- a/crates/ladderpass-benchlink/src/lines.rs
+++ b/crates/ladderpass-benchlink/src/lines.rs
@@ -67,6 +67,8 @@
     pub zone: Cow<'a, str>,
     #[serde(rename = "IsPrimary", default)]
     pub primary: Option<f64>,
+    #[serde(rename = "Size", default)]
+    pub size: Option<f64>,
     #[serde(rename = "Shard")]
     pub group: f64,
     #[serde(rename = "StageState", borrow)]
--- a/crates/ladderpass-benchlink/src/whisper.rs
+++ b/crates/ladderpass-benchlink/src/whisper.rs
@@ -10,14 +10,17 @@
 const LETTERS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
 const MARK_LETTERS: usize = 5;
 const WORD_LETTERS: usize = 10;
-/// Stretches go in steps of an eighth of a doubling, from a half; zero is not known.
-const STRETCH_FROM: f64 = 0.5;
-const STRETCH_STEPS: f64 = 8.0;
+/// The last letter: zero for nothing, the lower half for a stretch, the upper one for what it holds, in steps of
+/// a quarter of a doubling.
+const STEPS: f64 = 4.0;
+const STRETCH: (u64, f64) = (1, 0.5);
+const HOLDS: (u64, f64) = (32, 1.0);
+const HALF: f64 = 30.0;
 /// Times go in milliseconds, of which these bits are told: they come round after more than an hour.
 const TIME_BITS: u32 = 22;
 
-/// A node's mark, what is said of it, a time from the common zero, and its stretch.
-pub type Told = (u32, Word, Span, f64);
+/// A node's mark, what is said of it, a time from the common zero, its stretch, or what it holds.
+pub type Told = (u32, Word, Span, f64, Option<f64>);
 const WORDS: [Word; 3] = [Word::Replica, Word::Primary, Word::Lost];
 
 fn put(text: &mut String, number: u64, letters: usize) {
@@ -36,14 +39,21 @@
 pub fn write(zone: u32, words: impl Iterator<Item = Told>) -> String {
     let mut text = String::new();
     put(&mut text, u64::from(zone), 1);
-    for (mark, word, at, stretch) in words {
+    for (mark, word, at, stretch, holds) in words {
         let word = WORDS.iter().position(|&known| known == word).unwrap_or_default() as u64;
         // Rounded down: a position must not grow on the way.
         let at = at.nanos().div_euclid(1_000_000).rem_euclid(1 << TIME_BITS) as u64;
         put(&mut text, u64::from(mark), MARK_LETTERS);
         put(&mut text, at << 2 | word, WORD_LETTERS - MARK_LETTERS - 1);
-        let steps = 1.0 + ((stretch / STRETCH_FROM).log2() * STRETCH_STEPS).round();
-        put(&mut text, if stretch > 0.0 { steps.clamp(1.0, 63.0) as u64 } else { 0 }, 1);
+        let steps = |(first, from): (u64, f64), value: f64| {
+            first + ((value / from).log2() * STEPS).round().clamp(0.0, HALF) as u64
+        };
+        let last = match holds {
+            Some(holds) => steps(HOLDS, holds + HOLDS.1),
+            None if stretch > 0.0 => steps(STRETCH, stretch),
+            None => 0,
+        };
+        put(&mut text, last, 1);
     }
     text
 }
@@ -56,10 +66,12 @@
         let (word, last) = word.split_at_checked(WORD_LETTERS - 1)?;
         let (mark, rest) = word.split_at_checked(MARK_LETTERS)?;
         let (mark, rest, steps) = (take(mark)?, take(rest)?, take(last)?);
-        let stretch = STRETCH_FROM * ((steps as f64 - 1.0) / STRETCH_STEPS).exp2();
+        let value = |(first, from): (u64, f64)| from * ((steps - first) as f64 / STEPS).exp2();
+        let stretch = if (STRETCH.0..HOLDS.0).contains(&steps) { value(STRETCH) } else { 0.0 };
+        let holds = (steps >= HOLDS.0).then(|| value(HOLDS) - HOLDS.1);
         let age = (now - (rest >> 2) as i64).rem_euclid(1 << TIME_BITS);
         let word = *WORDS.get((rest & 3) as usize)?;
-        Some((mark as u32, word, Span::from_millis(now - age), if steps > 0 { stretch } else { 0.0 }))
+        Some((mark as u32, word, Span::from_millis(now - age), stretch, holds))
     });
     Some((take(zone)? as u32, words))
 }
@@ -73,22 +85,22 @@
         for (mark, told_ms, now_ms) in [(0, 0, 0), (1 << 29, 5, 9), (12_345, 9_000_000, 9_000_100)] {
             let at = Span::from_nanos(told_ms * 1_000_000 + 999_999);
             for word in WORDS {
-                let text = write(63, [(mark, word, at, 2.0)].into_iter());
+                let text = write(63, [(mark, word, at, 2.0, None)].into_iter());
                 assert_eq!(text.len(), 1 + WORD_LETTERS);
                 let (zone, words) = read(&text, Span::from_millis(now_ms + 1)).unwrap();
                 assert_eq!(
                     (zone, words.collect()),
-                    (63, vec![(mark, word, Span::from_millis(told_ms), 2.0)])
+                    (63, vec![(mark, word, Span::from_millis(told_ms), 2.0, None)])
                 );
             }
         }
-        let full = write(0, (0..MOST as u32).map(|mark| (mark, Word::Lost, Span::ZERO, 1e9)));
+        let full = write(0, (0..MOST as u32).map(|mark| (mark, Word::Lost, Span::ZERO, 1e9, Some(1e9))));
         assert!(full.len() <= 256);
     }
 
     #[test]
     fn what_cannot_be_read_is_dropped() {
-        let good = write(1, [(7, Word::Replica, Span::from_millis(3), 0.0)].into_iter());
+        let good = write(1, [(7, Word::Replica, Span::from_millis(3), 0.0, Some(3.0))].into_iter());
         for text in ["", "short", "\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}", "#########", "AAAA AAAA"] {
             let count = |text: &str| read(text, Span::from_millis(9)).map_or(0, |(_, words)| words.count());
             assert_eq!(count(&format!("B{text}")), 0, "{text}");
--- a/crates/ladderpass-benchlink/src/wire.rs
+++ b/crates/ladderpass-benchlink/src/wire.rs
@@ -36,9 +36,12 @@
     column_position: Option<usize>,
     column_primary: Option<usize>,
     column_waiting: Option<usize>,
+    column_holds: Option<usize>,
     nodes: Names,
     kinds: Names,
     zones: Names,
+    /// Sizes in the list are the registered ones.
+    sized: bool,
     /// The letter of its own zone.
     zone: u32,
     /// Nodes by their mark; none where two have the same.
@@ -189,6 +192,7 @@
         kind: line.kind.clone().into_owned().into(),
         primary: line.primary,
         group: line.group,
+        size: line.size,
         zone: line.zone.clone().into_owned().into(),
         standing: line.standing.clone().into_owned().into(),
         born: line.born,
@@ -205,6 +209,7 @@
             column_position: column(settings::POSITION),
             column_primary: column(settings::PRIMARY),
             column_waiting: column(settings::WAITING),
+            column_holds: column(settings::HOLDS),
             router: Router::start(now, salt, facts.deployment),
             in_batch: false,
             actions: String::new(),
@@ -214,6 +219,7 @@
             nodes: Names::default(),
             kinds: Names::default(),
             zones,
+            sized: facts.sized,
             zone: mark(facts.zone.as_deref().unwrap_or_default()) & 63,
             marks: HashMap::new(),
             groups: HashMap::new(),
@@ -349,6 +355,7 @@
             position: cell(self.column_position).map(|secs| self.zero + Span::from_secs_f64(secs)),
             primary: cell(self.column_primary).map(|flag| flag >= 0.5),
             waiting: cell(self.column_waiting),
+            holds: cell(self.column_holds),
         };
         self.router.probed(now, member, ended, took, report);
         Ok(())
@@ -358,10 +365,12 @@
     fn whisper(&mut self, now: Time, line: Line) -> Result<(), Fault> {
         let payload = need(line.payload, "Payload")?;
         let Some((zone, words)) = whisper::read(&payload, now - self.zero) else { return Ok(()) };
-        for (mark, word, at, stretch) in words {
+        for (mark, word, at, stretch, holds) in words {
             if let Some(member) = self.marks.get(&mark).copied().flatten() {
-                self.router
-                    .told(now, News { member, word, at: self.zero + at, near: zone == self.zone, stretch });
+                self.router.told(
+                    now,
+                    News { member, word, at: self.zero + at, near: zone == self.zone, stretch, holds },
+                );
             }
         }
         Ok(())
@@ -390,6 +399,7 @@
                 member,
                 mark,
                 zone: self.zones.intern(&entry.zone),
+                size: entry.size.filter(|&size| self.sized && size > 0.0),
                 group: group_index(&mut self.groups, entry.group),
                 primary: entry.primary.unwrap_or(0.0) >= 0.5,
                 standing: match &*entry.standing {
@@ -430,7 +440,7 @@
                     .get(&mark)
                     .copied()
                     .flatten()
-                    .map(|_| (mark, news.word, news.at - self.zero, news.stretch))
+                    .map(|_| (mark, news.word, news.at - self.zero, news.stretch, news.holds))
             });
             let text = quoted(&whisper::write(self.zone, words));
             let _ = writeln!(out, r#"{{"kind":"PUBLISH","Who":{who},"Dest":-1,"Payload":{text}}}"#);
--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -63,7 +63,6 @@
 const WAY: Span = Span::from_millis(2500);
 const WAY_MISSED: f64 = 8.0;
 const WAY_TROUBLED: f64 = 2.0;
-const WAY_KNOWN: f64 = 8.0;
 /// Answer times spread: this multiple of the usual one must fit.
 const MARGIN: f64 = 1.5;
 /// Width of the buckets of present answers, and of usual ones; how many answers of all stand in for its own.
@@ -254,7 +253,7 @@
                 continue;
             }
             let load = if long { -self.behind(now, member) } else { self.load(now, member) };
-            let next = row.usual.secs() * (1.0 + TURN_SPREAD * (chance.generate::<f64>() - 0.5));
+            let next = row.usual.secs() * TURN_SPREAD * -(1.0 - chance.generate::<f64>()).ln();
             let sent = member.sent.last(now, 8).1 / self.ramp(now, member).unwrap_or(1.0);
             let far = if member.zone == 0 { 1.0 } else { FAR };
             let turn = if long { 0.0 } else { (sent + next) * self.stretch(now, member, 8) * far };
@@ -380,8 +379,7 @@
             Effect::NonIdempotent => return None,
         };
         let zone = self.fleet.member(index).zone;
-        let met = self.fleet.ways.get(zone as usize).map_or(0.0, |way| way.last(now, 8).0);
-        let troubled = zone != 0 && (met < WAY_KNOWN || self.way(now, zone) > WAY_TROUBLED);
+        let troubled = self.way(now, zone) > WAY_TROUBLED;
         (troubled && state.callouts == 0 && limit >= row.usual * SILENCE).then_some(limit)
     }
 
@@ -425,7 +423,7 @@
         let state = &self.rpcs[rpc];
         let usual = self.rows[state.arrival.method as usize].usual;
         let (count, sum) = member.stretch.last(now, if member.out.is_empty() { 2 } else { 4 });
-        let own = (sum + STAND_IN) / (count + STAND_IN);
+        let own = (sum + STAND_IN * self.crowding(now, member)) / (count + STAND_IN);
         let own = own.max(self.way(now, member.zone));
         member.standing == Standing::On
             && member.misses < MISSES_TO_DROP
@@ -537,7 +535,14 @@
         let (count, sum) = member.stretch.last(now, back);
         let (all, total) =
             self.fleet.paces.get(member.kind as usize).map_or((0.0, 0.0), |p| p.last(now, back));
-        (sum + STAND_IN * (total + 4.0) / (all + 3.0)) / (count + STAND_IN)
+        let pace = (total + 4.0) / (all + 3.0) * self.crowding(now, member);
+        (sum + STAND_IN * pace) / (count + STAND_IN)
+    }
+
+    /// One that holds more than it works on at once is in a jam; many routers know it only by its reports.
+    fn crowding(&self, now: Time, member: &Member) -> f64 {
+        let held = member.holds.filter(|_| now - member.told_at < NEWS_AGE);
+        held.zip(member.size).map_or(1.0, |(holds, size)| ((holds + 1.0) / size).max(1.0))
     }
 
     /// A cold member is in the pick for a part of the RPCs only: its ramp, of a fair share of the group at
@@ -618,7 +623,8 @@
         let told = self.deployment.role_in_list;
         let role_told = told == RoleInList::Late || told == RoleInList::Start && now == self.started;
         let member = self.fleet.member_mut(index);
-        (member.kind, member.zone, member.mark) = (entry.kind, entry.zone, entry.mark);
+        (member.kind, member.zone, member.mark, member.size) =
+            (entry.kind, entry.zone, entry.mark, entry.size);
         if !subtle {
             member.stands(now, entry.standing);
         }
@@ -674,6 +680,7 @@
         self.fleet.groups[group].heard = true;
         if let Some(position) = report.position {
             let age = now - position;
+            self.fleet.member_mut(index).holds = report.holds;
             self.fleet.member_mut(index).report_age = Some(age);
             // Reports may be late: the primary's, which stands at the present, shows by how much.
             let primary = self.fleet.groups[group].primary;
@@ -717,6 +724,7 @@
             }
         };
         (member.shared, member.shared_at, member.told_at) = (member.shared.max(news.at), now, now);
+        member.holds = news.holds.or(member.holds);
         if news.stretch > 0.0 {
             member.learnt(now, news.stretch, false);
             // Its answer came before it was told: it shows no more than a cut made since.
@@ -754,13 +762,14 @@
 
     /// Tells the other routers what this one was told by the member itself, if they are not likely to know it.
     fn share(&mut self, now: Time, index: usize, word: Word, at: Time, stretch: f64) {
+        let holds = self.fleet.member(index).holds;
         let group = &self.fleet.groups[self.fleet.member(index).group];
         let step = if group.primary.is_none() { TELL_LEADERLESS } else { Span::MAX };
         let step = step.min(self.tell_every());
         let member = self.fleet.member_mut(index);
         if self.deployment.peers && now - member.shared_at >= step {
             (member.shared, member.shared_at) = (member.shared.max(at), now);
-            self.tell.push(News { member: member.id, word, at, near: true, stretch });
+            self.tell.push(News { member: member.id, word, at, near: true, stretch, holds });
         }
     }
 
@@ -791,16 +800,18 @@
         let member = self.fleet.member_mut(index);
         member.miss_from = if member.misses == 0 { now } else { member.miss_from };
         member.misses += 1;
-        let (zone, first) = (member.zone, member.misses == 1 && !heard);
+        let (zone, first) = (member.zone, member.misses == 1);
         let again = PROBE_MISSED * f64::from(1 << (member.misses - 1).min(3));
-        member.probe_at = now + if member.misses < MISSES_TO_DROP { again } else { again.max(most) };
-        self.probes_at = self.probes_at.min(member.probe_at);
-        if member.misses == MISSES_TO_DROP {
-            if self.deployment.peers && !heard && now - member.lost_at >= LONG_GONE {
-                member.lost_at = now;
-                let (member, word) = (member.id, Word::Lost);
-                self.tell.push(News { member, word, at: now, near: true, stretch: 0.0 });
-            }
+        if !heard {
+            member.probe_at = now + if member.misses < MISSES_TO_DROP { again } else { again.max(most) };
+            self.probes_at = self.probes_at.min(member.probe_at);
+        }
+        if self.deployment.peers && !heard && now - member.lost_at >= LONG_GONE {
+            member.lost_at = now;
+            let (member, word) = (member.id, Word::Lost);
+            self.tell.push(News { member, word, at: now, near: true, stretch: 0.0, holds: None });
+        }
+        if self.fleet.member(index).misses == MISSES_TO_DROP {
             self.notes.push(format!("#{index} is left out: {MISSES_TO_DROP} misses in a row"));
         }
         if first {
--- a/crates/ladderpass-core/src/interface.rs
+++ b/crates/ladderpass-core/src/interface.rs
@@ -113,6 +113,8 @@
     pub born: Option<Time>,
     /// Kind of machine, by the small index that the front gave it.
     pub kind: u32,
+    /// RPCs that it works on at once without slowing them, where the list tells.
+    pub size: Option<f64>,
     /// Its zone, likewise; zero is the router's own.
     pub zone: u32,
     /// A number by which all routers know it.
@@ -206,6 +208,8 @@
     pub primary: Option<bool>,
     /// RPCs that wait to be begun.
     pub waiting: Option<f64>,
+    /// RPCs that it holds.
+    pub holds: Option<f64>,
 }
 
 /// What one router passes on to the others: what a member told it, or that it is out of its reach.
@@ -226,6 +230,8 @@
     pub near: bool,
     /// Its answer time over the usual one, as its teller met it; zero: not known.
     pub stretch: f64,
+    /// RPCs that it holds, by its report.
+    pub holds: Option<f64>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/ladderpass-core/src/state.rs
+++ b/crates/ladderpass-core/src/state.rs
@@ -12,6 +12,7 @@
     pub kind: u32,
     pub zone: u32,
     pub mark: u32,
+    pub size: Option<f64>,
     pub standing: Standing,
     /// Since when it has this standing.
     pub stands_from: Time,
@@ -45,6 +46,8 @@
     pub told_at: Time,
     /// RPCs that waited there, by its last report.
     pub waiting: Option<f64>,
+    /// RPCs that it held, likewise.
+    pub holds: Option<f64>,
     pub cold_from: Option<Time>,
     /// Latest send that it has answered.
     pub answered: Time,
@@ -209,6 +212,7 @@
             kind: 0,
             zone: 0,
             mark: 0,
+            size: None,
             standing: Standing::On,
             stands_from: Time::NEVER,
             claim: Time::NEVER,
@@ -231,6 +235,7 @@
             probe_at: Time::NEVER,
             told_at: Time::NEVER,
             waiting: None,
+            holds: None,
             cold_from: None,
             answered: Time::NEVER,
             limit,
--- a/crates/ladderpass-core/tests/common/mod.rs
+++ b/crates/ladderpass-core/tests/common/mod.rs
@@ -38,11 +38,22 @@
 
 pub fn entry(member: u32, primary: bool) -> Entry {
     let (standing, born) = (Standing::On, None);
-    Entry { member: MemberId(member), group: 0, primary, standing, born, kind: 0, zone: 0, mark: member }
+    Entry {
+        member: MemberId(member),
+        group: 0,
+        primary,
+        standing,
+        born,
+        kind: 0,
+        size: None,
+        zone: 0,
+        mark: member,
+    }
 }
 
 pub fn probe(router: &mut Router, ms: i64, member: u32, position_ms: i64, primary: bool) {
-    let report = Report { position: Some(at(position_ms)), primary: Some(primary), waiting: None };
+    let report =
+        Report { position: Some(at(position_ms)), primary: Some(primary), waiting: None, holds: None };
     router.probed(at(ms), MemberId(member), Ended::Ok, Span::from_millis(1), report);
 }
 
--- a/crates/ladderpass-core/tests/exceptions.rs
+++ b/crates/ladderpass-core/tests/exceptions.rs
@@ -381,7 +381,8 @@
 fn a_primary_whose_load_is_not_known_is_asked_before_a_write() {
     let mut router = group_of(1, |d| d.methods[1].late = 0.5);
     let told = |router: &mut Router, ms: i64, waiting: f64| {
-        let report = Report { position: Some(at(ms)), primary: Some(true), waiting: Some(waiting) };
+        let report =
+            Report { position: Some(at(ms)), primary: Some(true), waiting: Some(waiting), holds: None };
         router.probed(at(ms), MemberId(0), Ended::Ok, Span::from_millis(1), report);
         router.tend(at(ms)).decisions.iter().filter_map(|(_, d)| sent_to(*d)).count()
     };
--- a/crates/ladderpass-core/tests/rules.rs
+++ b/crates/ladderpass-core/tests/rules.rs
@@ -212,7 +212,7 @@
             }
         }
         let waiting = self.one(&[None, Some(0.0), Some(5.0)]);
-        let report = Report { position, primary, waiting };
+        let report = Report { position, primary, waiting, holds: None };
         self.router.probed(self.now, MemberId(member), ended, Span::from_millis(1), report);
     }
 
--- a/crates/ladderpass-deployment/src/lib.rs
+++ b/crates/ladderpass-deployment/src/lib.rs
@@ -26,6 +26,8 @@
     pub connect_within: Option<Span>,
     /// A connection idle for this long is closed by the member.
     pub idle_for: Option<Span>,
+    /// Sizes in the list are the registered ones.
+    pub sized: bool,
     /// The zone of this instance.
     pub zone: Option<String>,
     /// Most RPCs that an instance may hold.
@@ -36,6 +38,7 @@
 pub const POSITION: &str = "x0";
 pub const PRIMARY: &str = "x1";
 pub const WAITING: &str = "q";
+pub const HOLDS: &str = "rif";
 
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
@@ -46,6 +49,7 @@
     extra: Extra,
     me: Option<u32>,
     az: Option<String>,
+    weights: Option<String>,
     registry_mode: Option<String>,
     report: Option<ReportShape>,
     services: Vec<Service>,
@@ -177,6 +181,7 @@
         columns: shape.report.as_ref().and_then(|report| report.columns.clone()).unwrap_or_default(),
         connect_within: positive("Allowed.ConnectTimeout", allowed.connect_timeout)?,
         idle_for: positive("Allowed.ConnIdle", allowed.conn_idle)?,
+        sized: shape.weights.as_deref() == Some("nominal"),
         zone: shape.az.clone(),
         most_held: allowed.most_held,
     })
--- a/crates/ladderpass/src/reducer/watch.rs
+++ b/crates/ladderpass/src/reducer/watch.rs
@@ -129,6 +129,7 @@
                 },
                 born: instance.born().filter(|_| !self.faulty.is(Faulty::IgnoresWarmUp)),
                 kind: self.kinds.intern(&instance.machine_type),
+                size: None,
                 zone: 0,
                 mark: index,
             });
