Reads go by a part that all routers take from crowded members; slow ones told; earlier shapes out

A router of 1.6 RPCs a second never has two in flight at one member, so no limit binds, and all rush to whoever reported little last. Now all routers that hear a report above twice the size halve, or give back, the same part of their reads (regulate).

Taken out: long reads and the clear replica, members that check reads (refuse, wait), reports of waiting RPCs and asking the primary for them.

--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -33,9 +33,6 @@
 /// A position that has not moved for this long stands still.
 const STANDS: Span = Span::from_millis(500);
 const CATCH_UP_LEAST: Span = Span::from_millis(250);
-/// RPCs waiting at a member past which it gets no more; each leaves in this part of an answer time.
-const WAITING: f64 = 0.5;
-const DRAIN: f64 = 0.25;
 /// Probes and connects failed in a row before a member is left out; after this long it has started anew.
 const MISSES_TO_DROP: u32 = 3;
 const LONG_GONE: Span = Span::from_millis(1000);
@@ -51,9 +48,6 @@
 /// Share of an in-flight limit that reads may use on the primary, and marked repeats of reads anywhere.
 const READ_SHARE: f64 = 0.3;
 const REPEAT_SHARE: f64 = 0.1;
-/// A method is long from this multiple of the shortest one's answer time; seconds of lag that matter to it.
-const LONG: f64 = 4.0;
-const LAG_STEP: f64 = 0.5;
 /// Turns among equals are drawn by chance within this part of one RPC.
 const TURN_SPREAD: f64 = 1.0;
 /// A turn at a member of another zone weighs this much more.
@@ -65,6 +59,15 @@
 const WAY_TROUBLED: f64 = 2.0;
 /// Answer times spread: this multiple of the usual one must fit.
 const MARGIN: f64 = 1.5;
+/// An answer that took this multiple of the present pace is told to those near, and weighs like so many there.
+const SLOW: f64 = 5.0;
+const SLOW_WORD: usize = 3;
+/// A member is crowded that holds this multiple of its size; what a report of it leaves at least of the part of
+/// the reads that may go to it, what one that is not gives back, and the least part.
+const CROWD: f64 = 2.0;
+const PART_CUT: f64 = 0.5;
+const PART_GROWTH: f64 = 1.25;
+const PART_LEAST: f64 = 0.05;
 /// Width of the buckets of present answers, and of usual ones; how many answers of all stand in for its own.
 const MEASURE: Span = Span::from_millis(500);
 const USUAL: Span = Span::from_millis(5000);
@@ -131,12 +134,15 @@
     notes: Vec<String>,
     forgotten: Vec<MemberId>,
     tell: Vec<News>,
+    least_bound: Span,
 }
 
 impl Router {
     pub fn start(now: Time, seed: u64, deployment: Deployment) -> Router {
         let row = |method: &Method| Row::new(method, method.soft_deadline * SOFT_PART, USUAL);
+        let bounds = deployment.methods.iter().filter_map(|method| method.level.bound());
         Router {
+            least_bound: bounds.min().unwrap_or(ANY_BOUND),
             taken: Ring::new(MEASURE),
             probes_at: now,
             rows: deployment.methods.iter().map(row).collect(),
@@ -221,11 +227,7 @@
             return self.give_up(now, rpc);
         }
         // A fresh router waits for the first answers; its list may be old.
-        if !group.heard
-            && self.deployment.probes
-            && self.deployment.probes_tell
-            && now - self.started < FIRST_ANSWERS
-        {
+        if !group.heard && self.deployment.probes_tell && now - self.started < FIRST_ANSWERS {
             self.ask_all(now, group_index);
             return self.hold(rpc);
         }
@@ -242,26 +244,23 @@
         // A marked repeat competes with first tries, of which more are still wanted: it gets what is idle.
         let repeat = state.arrival.resent && row.method.effect == Effect::Idempotent;
         let spare = if repeat { REPEAT_SHARE } else { 1.0 };
-        let long = level == Level::Any && row.usual > self.least_usual() * LONG;
         let mut chance = self.chance.clone();
         // The next pick among those that no news speaks for or against, and whether one is being asked.
         let (mut unsure, mut asked): (Option<(f64, f64, usize)>, bool) = (None, false);
-        let kept_clear = long.then(|| self.most_advanced(now, group_index)).flatten();
         for &index in if primary_only { &[][..] } else { &group.members } {
             let member = self.fleet.member(index);
-            if Some(index) == group.primary || Some(index) == kept_clear || !self.usable(now, index, rpc) {
+            if Some(index) == group.primary || !self.usable(now, index, rpc) {
                 continue;
             }
-            let load = if long { -self.behind(now, member) } else { self.load(now, member) };
+            let load = self.load(now, member);
             let next = row.usual.secs() * TURN_SPREAD * -(1.0 - chance.generate::<f64>()).ln();
             let sent = member.sent.last(now, 8).1 / self.ramp(now, member).unwrap_or(1.0);
             let far = if member.zone == 0 { 1.0 } else { FAR };
-            let turn = if long { 0.0 } else { (sent + next) * self.stretch(now, member, 8) * far };
-            // Any data will do, within reason: a lag that was told leaves one out. Long reads stop the log of
-            // the replica that holds them: they take the one that is furthest behind already.
+            let turn = (sent + next) * self.stretch(now, member, 8) * far;
+            // Any data will do, within reason: a lag that was told leaves one out.
             let passes = match level {
-                Level::Any => long || member.lag.is_none_or(|lag| lag < ANY_BOUND),
-                _ => self.current(now, member, needs),
+                Level::Any => member.lag.is_none_or(|lag| lag < ANY_BOUND),
+                _ => member.position >= needs,
             };
             if !passes {
                 asked |= member.probe_sent.map_or(member.probe_at <= now, |sent| now - sent < ASK_WAIT);
@@ -275,9 +274,7 @@
                 }
                 continue;
             }
-            if self.crowded(now, member) == Some(true)
-                || !self.room(now, index, rpc, spare * self.headroom(now, member, needs))
-            {
+            if !self.room(now, index, rpc, spare * self.headroom(now, member, needs)) {
                 continue;
             }
             if best.is_none_or(|(least, first, _)| (load, turn) < (least, first)) {
@@ -286,11 +283,8 @@
         }
         let mut picked = best.map(|(_, _, index)| index);
         // No news yet: the read waits for that of its next pick, a round trip, before the primary is asked.
-        let mut ask = unsure.filter(|_| !asked).map(|(_, _, index)| index);
-        let waits = picked.is_none()
-            && self.deployment.probes_tell
-            && self.deployment.probes
-            && (asked || ask.is_some());
+        let ask = unsure.filter(|_| !asked).map(|(_, _, index)| index);
+        let waits = picked.is_none() && self.deployment.probes_tell && (asked || ask.is_some());
         // The spill, which leaves the writes their place.
         let share = if primary_only { 1.0 } else { READ_SHARE };
         if picked.is_none()
@@ -300,20 +294,7 @@
             && self.fleet.member(index).misses == 0
             && self.room(now, index, rpc, share * spare)
         {
-            // All routers that write load it, and each sees its own few answers only: it is asked first.
-            let silent = self.fleet.member(index).probe_sent.is_some_and(|sent| now - sent >= ASK_WAIT);
-            match self.crowded(now, self.fleet.member(index)) {
-                Some(true) => ask = Some(index),
-                None if !silent => ask = Some(index),
-                _ => picked = Some(index),
-            }
-        }
-        // No primary, and no lag is known for want of one: where members check, the most advanced replica.
-        let leaderless = group.primary.is_none() && self.deployment.checks != Checks::Off && !primary_only;
-        if picked.is_none() && !waits && leaderless {
-            let unknown = |&&i: &&usize| self.fleet.member(i).lag.is_none() && self.usable(now, i, rpc);
-            let replicas = group.members.iter().filter(unknown);
-            picked = replicas.max_by_key(|&&index| self.fleet.member(index).position).copied();
+            picked = Some(index);
         }
         self.chance = chance;
         if let (None, Some(index)) = (picked, ask) {
@@ -340,20 +321,17 @@
 
     /// The turn of this router to ask a member: another order for each news of it, so that none is always first.
     fn turn(&self, index: usize) -> f64 {
-        let member = self.fleet.member(index);
-        let order = (member.shared.nanos() / 1_000_000) as u64 ^ u64::from(member.mark) << 20;
-        let turn = u64::from(self.deployment.me) + WyRand::new_seed(order).generate::<u64>() / 2;
-        (turn % u64::from(self.deployment.routers.max(1))) as f64
+        let first = WyRand::new_seed(self.fleet.member(index).order()).generate::<u64>() / 2;
+        ((u64::from(self.deployment.me) + first) % u64::from(self.deployment.routers.max(1))) as f64
     }
 
     /// A probe of it is due now.
     fn ask(&mut self, now: Time, index: usize) {
-        // Not more often than it can have news, nor than it can bear where all routers ask.
-        let drained = self.least_usual() * (self.fleet.member(index).waiting.unwrap_or(0.0) * DRAIN);
+        // Not more often than it can have news.
         let told = self.told_soon(index);
         let member = self.fleet.member_mut(index);
         if member.probe_sent.is_none() {
-            let due = told.max(member.probed_at + PROBE_AGAIN.max(drained));
+            let due = told.max(member.probed_at + PROBE_AGAIN);
             member.probe_at = member.probe_at.min(now.max(due));
             self.probes_at = self.probes_at.min(member.probe_at);
         }
@@ -432,21 +410,9 @@
             && self.warm_enough(now, index, rpc)
     }
 
-    /// Does what it holds reach up to `needs`? A position told proves it; where members check, lag tells.
-    fn current(&self, now: Time, member: &Member, needs: Time) -> bool {
-        member.position >= needs
-            || self.deployment.checks != Checks::Off
-                && (now - member.told_at < NEWS_AGE || !self.deployment.probes)
-                && member.lag.is_some_and(|lag| now - lag >= needs)
-    }
-
     /// Its last news is old, or told of a lag that it may have made up since.
     fn may_have_caught_up(&self, now: Time, member: &Member, needs: Time) -> bool {
-        let lag = match self.deployment.checks {
-            Checks::Off => Some(member.told_at - member.position),
-            _ => member.lag,
-        };
-        let excess = lag.map_or(CATCH_UP_LEAST, |lag| lag - (now - needs));
+        let excess = member.told_at - member.position - (now - needs);
         excess <= Span::ZERO || now - member.told_at >= CATCH_UP_LEAST.max(excess * CATCH_UP)
     }
 
@@ -460,12 +426,6 @@
         self.in_flight(now, member) < limit.max(1.0) && (limit >= 1.0 || now - member.sent_at >= idle_for)
     }
 
-    /// Do others make RPCs wait there, by its last report? None where that is too old to tell.
-    fn crowded(&self, now: Time, member: &Member) -> Option<bool> {
-        let Some(waiting) = member.waiting else { return Some(false) };
-        (now - member.told_at < NEWS_AGE).then_some(waiting > WAITING)
-    }
-
     /// A replica whose lag nears the bound is crowded: it gets less, so that it can catch up.
     fn headroom(&self, now: Time, member: &Member, needs: Time) -> f64 {
         // Reads of any data crowd it just as well; one that stands still wants a primary, not room.
@@ -473,29 +433,11 @@
         if any && now - member.moved_at > STANDS {
             return 1.0;
         }
-        let bound = if any { self.least_bound() } else { now - needs };
+        let bound = if any { self.least_bound } else { now - needs };
         let part = member.lag.map_or(0.0, |lag| lag.secs() / bound.secs().max(1e-6));
         (HEADROOM - part).clamp(0.1, 1.0)
     }
 
-    /// The replica that long reads leave to the others; None where there is only one.
-    fn most_advanced(&self, now: Time, group: usize) -> Option<usize> {
-        let group = &self.fleet.groups[group];
-        let serves = |&index: &usize| {
-            let member = self.fleet.member(index);
-            Some(index) != group.primary && member.standing == Standing::On && member.misses < MISSES_TO_DROP
-        };
-        let replicas = || group.members.iter().copied().filter(serves);
-        replicas().nth(1)?;
-        let behind = |index: usize| self.behind(now, self.fleet.member(index));
-        replicas().min_by(|&a, &b| behind(a).total_cmp(&behind(b)))
-    }
-
-    /// Lag in rough steps, so that routers that see it at other moments agree.
-    fn behind(&self, now: Time, member: &Member) -> f64 {
-        (member.lag.unwrap_or(now - member.position).secs() / LAG_STEP).floor()
-    }
-
     fn least_usual(&self) -> Span {
         self.rows.iter().map(|row| row.usual).min().unwrap_or(Span::ZERO)
     }
@@ -533,12 +475,26 @@
     /// Present answer time over the usual one; where few answers tell, those of its kind of machine stand in.
     fn stretch(&self, now: Time, member: &Member, back: usize) -> f64 {
         let (count, sum) = member.stretch.last(now, back);
-        let (all, total) =
-            self.fleet.paces.get(member.kind as usize).map_or((0.0, 0.0), |p| p.last(now, back));
-        let pace = (total + 4.0) / (all + 3.0) * self.crowding(now, member);
+        let pace = self.pace(now, member.kind, back) * self.crowding(now, member);
         (sum + STAND_IN * pace) / (count + STAND_IN)
     }
 
+    fn pace(&self, now: Time, kind: u32, back: usize) -> f64 {
+        let (all, total) = self.fleet.paces.get(kind as usize).map_or((0.0, 0.0), |p| p.last(now, back));
+        (total + 4.0) / (all + 3.0)
+    }
+
+    /// Routers with little traffic have nothing in flight that a limit could bind: all that hear how much a member
+    /// holds take the same part of their reads from it, or give it back, so that it fills up to a few times its size.
+    fn regulate(&mut self, index: usize) {
+        let member = self.fleet.member_mut(index);
+        let Some(crowd) = member.holds.zip(member.size).map(|(holds, size)| (holds + 1.0) / size) else {
+            return;
+        };
+        let step = if crowd > CROWD { (CROWD / crowd).max(PART_CUT) } else { PART_GROWTH };
+        member.part = (member.part * step).clamp(PART_LEAST, 1.0);
+    }
+
     /// One that holds more than it works on at once is in a jam; many routers know it only by its reports.
     fn crowding(&self, now: Time, member: &Member) -> f64 {
         let held = member.holds.filter(|_| now - member.told_at < NEWS_AGE);
@@ -547,20 +503,24 @@
 
     /// A cold member is in the pick for a part of the RPCs only: its ramp, of a fair share of the group at
     /// its largest; if each router keeps that, so does their sum. Writes have nowhere else to go; what waited
-    /// for a cold primary does not come all at once. Long reads don't go to a newcomer, furthest behind.
+    /// for a cold primary does not come all at once.
     fn warm_enough(&self, now: Time, index: usize, rpc: Rpc) -> bool {
-        let Some(ramp) = self.ramp(now, self.fleet.member(index)) else { return true };
         let state = &self.rpcs[rpc];
+        let lucky = (state.luck + index as f64 * 0.618) % 1.0;
+        let write = self.rows[state.arrival.method as usize].method.level == Level::Write;
+        if !write && lucky >= self.fleet.member(index).part {
+            return false;
+        }
+        let Some(ramp) = self.ramp(now, self.fleet.member(index)) else { return true };
         let group = &self.fleet.groups[state.arrival.group as usize];
         let part = match self.rows[state.arrival.method as usize].method.level {
             Level::Fresh | Level::Write => {
                 let spread = self.deployment.overload_for * COLD_SPREAD;
                 COLD_WRITES * ((now - group.primary_at).secs() / spread.secs().max(1e-3)).min(1.0)
             }
-            _ if self.rows[state.arrival.method as usize].usual > self.least_usual() * LONG => 0.0,
             _ => (COLD_READS / group.largest.max(1) as f64).min(1.0),
         };
-        (state.luck + index as f64 * 0.618) % 1.0 < ramp * part
+        lucky < ramp * part
     }
 
     /// The part of its capacity that a cold member is sure to have; None once it is warm.
@@ -623,8 +583,7 @@
         let told = self.deployment.role_in_list;
         let role_told = told == RoleInList::Late || told == RoleInList::Start && now == self.started;
         let member = self.fleet.member_mut(index);
-        (member.kind, member.zone, member.mark, member.size) =
-            (entry.kind, entry.zone, entry.mark, entry.size);
+        member.listed(entry);
         if !subtle {
             member.stands(now, entry.standing);
         }
@@ -681,6 +640,7 @@
         if let Some(position) = report.position {
             let age = now - position;
             self.fleet.member_mut(index).holds = report.holds;
+            self.regulate(index);
             self.fleet.member_mut(index).report_age = Some(age);
             // Reports may be late: the primary's, which stands at the present, shows by how much.
             let primary = self.fleet.groups[group].primary;
@@ -692,7 +652,6 @@
         }
         let member = self.fleet.member_mut(index);
         member.told_at = now;
-        member.waiting = report.waiting;
         match (report.primary, report.position) {
             // A position never goes back: one from before the claim is an old report, not a change of role.
             (Some(true), at) => self.shown(now, index, Role::Primary, at.unwrap_or(now - took)),
@@ -722,9 +681,20 @@
                 }
                 return;
             }
+            Word::Slow => {
+                if news.near {
+                    member.slow_at = now;
+                    (0..SLOW_WORD).for_each(|_| member.learnt(now, news.stretch, false));
+                }
+                return;
+            }
         };
         (member.shared, member.shared_at, member.told_at) = (member.shared.max(news.at), now, now);
-        member.holds = news.holds.or(member.holds);
+        if news.holds.is_some() {
+            member.holds = news.holds;
+            self.regulate(index);
+        }
+        let member = self.fleet.member_mut(index);
         if news.stretch > 0.0 {
             member.learnt(now, news.stretch, false);
             // Its answer came before it was told: it shows no more than a cut made since.
@@ -748,16 +718,8 @@
         self.deployment.peers && self.deployment.probes_tell
     }
 
-    fn least_bound(&self) -> Span {
-        let bounds = self.rows.iter().filter_map(|row| match row.method.level {
-            Level::Bounded(bound) => Some(bound),
-            _ => None,
-        });
-        bounds.min().unwrap_or(ANY_BOUND)
-    }
-
     fn tell_every(&self) -> Span {
-        self.least_bound() * TELL_PART
+        self.least_bound * TELL_PART
     }
 
     /// Tells the other routers what this one was told by the member itself, if they are not likely to know it.
@@ -839,6 +801,13 @@
             self.fleet.reach_pace(kind, MEASURE).add(now, stretch);
         }
         self.follow(now, index, sent, true);
+        let slow = stretch >= SLOW * self.pace(now, kind, 4);
+        let member = self.fleet.member_mut(index);
+        if self.deployment.peers && slow && now - member.slow_at >= LONG_GONE {
+            member.slow_at = now;
+            let (member, word) = (member.id, Word::Slow);
+            self.tell.push(News { member, word, at: now, near: true, stretch, holds: None });
+        }
     }
 
     /// The limit in flight follows shortest answer time over the present one; what others met lowers it alone.
@@ -983,16 +952,8 @@
         let index = outcome.member.0 as usize;
         let Some(state) = router.rpcs.find(self) else { return Decision::Done };
         let (arrival, sent) = (state.arrival, state.sent);
-        state.came_back(now, index);
+        let failed = state.came_back(now, index, outcome.ended);
         let over = outcome.complete || !state.live;
-        let failed = match outcome.ended {
-            Ended::Ok => std::mem::take(&mut state.failed),
-            Ended::Failed => {
-                state.failed.push(index);
-                Vec::new()
-            }
-            _ => Vec::new(),
-        };
         let at_fault = state.failed.len() >= ERRORS;
         for index in failed {
             router.fleet.members[index].iter_mut().for_each(|member| member.failures.add(now, 1.0));
@@ -1002,9 +963,7 @@
             router.rpcs.close(self);
             return Decision::Done;
         }
-        let ran =
-            !matches!(outcome.ended, Ended::Void | Ended::Unreachable | Ended::Overloaded | Ended::Absent);
-        if ran {
+        if !outcome.ended.never_ran() {
             router.rpcs[self].risked.get_or_insert(sent);
         }
         if outcome.ended == Ended::Void || at_fault {
@@ -1074,12 +1033,5 @@
             let at = if role == Role::Primary { outcome.position.unwrap_or(now - outcome.took) } else { now };
             self.shown(now, index, role, at);
         }
-        if outcome.ended == Ended::Absent
-            && let Level::Bounded(bound) = level
-        {
-            let member = self.fleet.member_mut(index);
-            member.lag = Some(member.lag.unwrap_or(bound).max(bound + Span::from_millis(1)));
-            member.told_at = now;
-        }
     }
 }
--- a/crates/ladderpass-core/src/interface.rs
+++ b/crates/ladderpass-core/src/interface.rs
@@ -27,6 +27,15 @@
     Write,
 }
 
+impl Level {
+    pub fn bound(self) -> Option<Span> {
+        match self {
+            Level::Bounded(bound) => Some(bound),
+            _ => None,
+        }
+    }
+}
+
 /// What running an RPC twice would do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
@@ -51,14 +60,6 @@
     pub late: f64,
 }
 
-/// What a replica does with a read for which it lags too far.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Checks {
-    Off,
-    Refuse,
-    Wait(Span),
-}
-
 /// How the list names the primary of a group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RoleInList {
@@ -71,7 +72,6 @@
 #[derive(Clone, Debug)]
 pub struct Deployment {
     pub methods: Vec<Method>,
-    pub checks: Checks,
     pub role_in_list: RoleInList,
     /// Session reads say themselves how old the session's last write is.
     pub carried: bool,
@@ -189,6 +189,13 @@
     Absent,
 }
 
+impl Ended {
+    /// It proves that the RPC never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Ended::Void | Ended::Unreachable | Ended::Overloaded | Ended::Absent)
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 pub struct Outcome {
     pub member: MemberId,
@@ -206,8 +213,6 @@
 pub struct Report {
     pub position: Option<Time>,
     pub primary: Option<bool>,
-    /// RPCs that wait to be begun.
-    pub waiting: Option<f64>,
     /// RPCs that it holds.
     pub holds: Option<f64>,
 }
@@ -218,6 +223,8 @@
     Replica,
     Primary,
     Lost,
+    /// It answers far more slowly than the others.
+    Slow,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/ladderpass-core/src/state.rs
+++ b/crates/ladderpass-core/src/state.rs
@@ -39,15 +39,17 @@
     pub miss_from: Time,
     /// When all routers were told that it is lost.
     pub lost_at: Time,
+    /// When those near were told that it is slow.
+    pub slow_at: Time,
     pub probe_sent: Option<Time>,
     pub probed_at: Time,
     pub probe_at: Time,
     /// When it last told how far it is.
     pub told_at: Time,
-    /// RPCs that waited there, by its last report.
-    pub waiting: Option<f64>,
-    /// RPCs that it held, likewise.
+    /// RPCs that it held, by its last report.
     pub holds: Option<f64>,
+    /// Part of the reads of all routers that may go to it.
+    pub part: f64,
     pub cold_from: Option<Time>,
     /// Latest send that it has answered.
     pub answered: Time,
@@ -230,12 +232,13 @@
             misses: 0,
             miss_from: Time::NEVER,
             lost_at: Time::NEVER,
+            slow_at: Time::NEVER,
             probe_sent: None,
             probed_at: Time::NEVER,
             probe_at: Time::NEVER,
             told_at: Time::NEVER,
-            waiting: None,
             holds: None,
+            part: 1.0,
             cold_from: None,
             answered: Time::NEVER,
             limit,
@@ -246,6 +249,16 @@
         }
     }
 
+    /// What the list says of the machine.
+    pub fn listed(&mut self, entry: &Entry) {
+        (self.kind, self.zone, self.mark, self.size) = (entry.kind, entry.zone, entry.mark, entry.size);
+    }
+
+    /// A number that all routers that heard its last news agree on.
+    pub fn order(&self) -> u64 {
+        (self.shared.nanos() / 1_000_000) as u64 ^ u64::from(self.mark) << 20
+    }
+
     /// It has shown its role: of two claims the later wins.
     pub fn shown(&mut self, role: Role, at: Time) {
         match role {
@@ -300,10 +313,15 @@
         self.sent = now;
     }
 
-    pub fn came_back(&mut self, now: Time, index: usize) {
+    /// A call-out has ended. Gives the members that failed it before another has served it.
+    pub fn came_back(&mut self, now: Time, index: usize, ended: Ended) -> Vec<usize> {
         self.out = self.out.saturating_sub(1);
         self.ended = now;
         self.tried.push(index);
+        if ended == Ended::Failed {
+            self.failed.push(index);
+        }
+        if ended == Ended::Ok { std::mem::take(&mut self.failed) } else { Vec::new() }
     }
 }
 
--- a/crates/ladderpass-deployment/src/lib.rs
+++ b/crates/ladderpass-deployment/src/lib.rs
@@ -6,7 +6,7 @@
 pub mod names;
 pub mod operator;
 
-use ladderpass_core::{Checks, Deployment, Effect, Level, Method, RoleInList, Span, Time};
+use ladderpass_core::{Deployment, Effect, Level, Method, RoleInList, Span, Time};
 use serde::{Deserialize, Deserializer};
 use serde_json::Value;
 
@@ -37,7 +37,6 @@
 /// Columns of a load report that the core uses.
 pub const POSITION: &str = "x0";
 pub const PRIMARY: &str = "x1";
-pub const WAITING: &str = "q";
 pub const HOLDS: &str = "rif";
 
 #[derive(Deserialize)]
@@ -82,13 +81,11 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct Extra {
-    checks: Option<String>,
     max_age: Option<Vec<Option<i64>>>,
     progress_told: Option<bool>,
     read_level: Vec<String>,
     role_in_list: Option<String>,
     tokens: Option<String>,
-    wait: Option<i64>,
     zero: Option<i64>,
 }
 
@@ -140,12 +137,6 @@
     }
     let deployment = Deployment {
         methods,
-        checks: match extra.checks.as_deref() {
-            None | Some("off") => Checks::Off,
-            Some("refuse") => Checks::Refuse,
-            Some("wait") => Checks::Wait(span("Extra.Wait", extra.wait)?),
-            Some(other) => return Err(format!("Extra.Checks: unknown value {other:?}")),
-        },
         role_in_list: match extra.role_in_list.as_deref() {
             None | Some("off") => RoleInList::Off,
             Some("late") => RoleInList::Late,
@@ -159,7 +150,8 @@
         },
         routers: shape.balancers.unwrap_or(1),
         probes: allowed.probes.unwrap_or(false),
-        probes_tell: shape.report.as_ref().is_none_or(ReportShape::tells_position),
+        probes_tell: allowed.probes.unwrap_or(false)
+            && shape.report.as_ref().is_none_or(ReportShape::tells_position),
         me: shape.me.unwrap_or(0),
         peers: allowed.may_tell.unwrap_or(false),
         callouts_cap: allowed.attempts_cap.unwrap_or(1),
--- a/crates/ladderpass/src/reducer.rs
+++ b/crates/ladderpass/src/reducer.rs
@@ -16,7 +16,7 @@
     Span, Standing, Time,
 };
 use ladderpass_deployment::names::{Names, group_index};
-use ladderpass_deployment::{POSITION, PRIMARY, WAITING};
+use ladderpass_deployment::{HOLDS, POSITION, PRIMARY};
 use ladderpass_overload::{Sample, Spent};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
--- a/crates/ladderpass/src/reducer/members.rs
+++ b/crates/ladderpass/src/reducer/members.rs
@@ -570,7 +570,7 @@
                 report.position = Some(plausible(Time::from_nanos((value * 1e9) as i64), latest)?);
             }
             PRIMARY => report.primary = Some(value >= 0.5),
-            WAITING => report.waiting = Some(value),
+            HOLDS => report.holds = Some(value),
             _ => {}
         }
     }
