--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -59,12 +59,9 @@
 const WAY_TROUBLED: f64 = 2.0;
 /// Answer times spread: this multiple of the usual one must fit.
 const MARGIN: f64 = 1.5;
-/// An answer that took this multiple of the present pace is told to those near, and weighs like so many there.
-const SLOW: f64 = 5.0;
-const SLOW_WORD: usize = 3;
-/// A member is crowded that holds this multiple of its size; what a report of it leaves at least of the part of
-/// the reads that may go to it, what one that is not gives back, and the least part.
-const CROWD: f64 = 2.0;
+/// A member is crowded that holds, or answers in, this multiple of its size, or of the usual time; what a second of
+/// it leaves at least of the part of the reads that may go there, what one without gives back, and the least part.
+const CROWD: f64 = 3.0;
 const PART_CUT: f64 = 0.5;
 const PART_GROWTH: f64 = 1.25;
 const PART_LEAST: f64 = 0.05;
@@ -485,14 +482,15 @@
     }
 
     /// Routers with little traffic have nothing in flight that a limit could bind: all that hear how much a member
-    /// holds take the same part of their reads from it, or give it back, so that it fills up to a few times its size.
-    fn regulate(&mut self, index: usize) {
-        let member = self.fleet.member_mut(index);
-        let Some(crowd) = member.holds.zip(member.size).map(|(holds, size)| (holds + 1.0) / size) else {
-            return;
-        };
+    /// holds, or how slowly it answers, take the same part of their reads from it, or give it back.
+    fn regulate(&mut self, now: Time, index: usize) {
+        let member = self.fleet.member(index);
+        let held = member.holds.zip(member.size).map(|(holds, size)| (holds + 1.0) / size);
+        let crowd = held.unwrap_or_else(|| self.stretch(now, member, 4));
         let step = if crowd > CROWD { (CROWD / crowd).max(PART_CUT) } else { PART_GROWTH };
-        member.part = (member.part * step).clamp(PART_LEAST, 1.0);
+        let member = self.fleet.member_mut(index);
+        let since = (now - member.part_at).secs().min(1.0);
+        (member.part, member.part_at) = ((member.part * step.powf(since)).clamp(PART_LEAST, 1.0), now);
     }
 
     /// One that holds more than it works on at once is in a jam; many routers know it only by its reports.
@@ -640,7 +638,7 @@
         if let Some(position) = report.position {
             let age = now - position;
             self.fleet.member_mut(index).holds = report.holds;
-            self.regulate(index);
+            self.regulate(now, index);
             self.fleet.member_mut(index).report_age = Some(age);
             // Reports may be late: the primary's, which stands at the present, shows by how much.
             let primary = self.fleet.groups[group].primary;
@@ -681,18 +679,13 @@
                 }
                 return;
             }
-            Word::Slow => {
-                if news.near {
-                    member.slow_at = now;
-                    (0..SLOW_WORD).for_each(|_| member.learnt(now, news.stretch, false));
-                }
-                return;
-            }
         };
         (member.shared, member.shared_at, member.told_at) = (member.shared.max(news.at), now, now);
         if news.holds.is_some() {
             member.holds = news.holds;
-            self.regulate(index);
+        }
+        if news.holds.is_some() || news.stretch > 0.0 {
+            self.regulate(now, index);
         }
         let member = self.fleet.member_mut(index);
         if news.stretch > 0.0 {
@@ -801,13 +794,6 @@
             self.fleet.reach_pace(kind, MEASURE).add(now, stretch);
         }
         self.follow(now, index, sent, true);
-        let slow = stretch >= SLOW * self.pace(now, kind, 4);
-        let member = self.fleet.member_mut(index);
-        if self.deployment.peers && slow && now - member.slow_at >= LONG_GONE {
-            member.slow_at = now;
-            let (member, word) = (member.id, Word::Slow);
-            self.tell.push(News { member, word, at: now, near: true, stretch, holds: None });
-        }
     }
 
     /// The limit in flight follows shortest answer time over the present one; what others met lowers it alone.
--- a/crates/ladderpass-core/src/interface.rs
+++ b/crates/ladderpass-core/src/interface.rs
@@ -223,8 +223,6 @@
     Replica,
     Primary,
     Lost,
-    /// It answers far more slowly than the others.
-    Slow,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/ladderpass-core/src/state.rs
+++ b/crates/ladderpass-core/src/state.rs
@@ -39,8 +39,6 @@
     pub miss_from: Time,
     /// When all routers were told that it is lost.
     pub lost_at: Time,
-    /// When those near were told that it is slow.
-    pub slow_at: Time,
     pub probe_sent: Option<Time>,
     pub probed_at: Time,
     pub probe_at: Time,
@@ -50,6 +48,7 @@
     pub holds: Option<f64>,
     /// Part of the reads of all routers that may go to it.
     pub part: f64,
+    pub part_at: Time,
     pub cold_from: Option<Time>,
     /// Latest send that it has answered.
     pub answered: Time,
@@ -232,13 +231,13 @@
             misses: 0,
             miss_from: Time::NEVER,
             lost_at: Time::NEVER,
-            slow_at: Time::NEVER,
             probe_sent: None,
             probed_at: Time::NEVER,
             probe_at: Time::NEVER,
             told_at: Time::NEVER,
             holds: None,
             part: 1.0,
+            part_at: Time::NEVER,
             cold_from: None,
             answered: Time::NEVER,
             limit,
