--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -1,7 +1,5 @@
-//! Every decision of ladderpass, and every tuned value.
-//!
-//! After `Router::start`, `list_news` with the list as last held. `take` gives a handle and a first decision;
-//! what happens later is a call on it (`Rpc::ended`, `Rpc::left`); probe results go to `probed`.
+//! Every decision of ladderpass, and every tuned value. After `Router::start`, `list_news`;
+//! `take` gives a handle and a first decision; what happens later is a call on it (`ended`, `left`).
 //! `tend` follows each batch of calls. Types at the door are in `interface.rs`; the clock is what `now` says.
 
 use crate::interface::*;
@@ -19,10 +17,10 @@
 const PROBE_AGAIN: Span = Span::from_millis(200);
 /// A probe that has told nothing for this long is taken for lost.
 const PROBE_LOST: Span = Span::from_millis(1500);
-/// A member's news is told to the other routers once the last is older than this part of the least bound, or
-/// than this where the group has no primary. A round that routers share goes by turns, this long each.
+/// News is told on once the last is older than this part of the least bound, or this long without a primary.
 const TELL_PART: f64 = 0.4;
 const TELL_LEADERLESS: Span = Span::from_millis(250);
+/// Those that want it ask within so many times that; turns of a shared round take this long each.
 const TELL_SPREAD: f64 = 4.0;
 const SHARED_TURN: Span = Span::from_millis(50);
 /// A read that lacks news of the replicas is held while its next pick is probed, for this long.
@@ -30,9 +28,9 @@
 /// What a probe told counts for this long; a lag past the bound for this part of the excess, and this long.
 const NEWS_AGE: Span = Span::from_millis(2000);
 const CATCH_UP: f64 = 0.5;
+const CATCH_UP_LEAST: Span = Span::from_millis(250);
 /// A position that has not moved for this long stands still.
 const STANDS: Span = Span::from_millis(500);
-const CATCH_UP_LEAST: Span = Span::from_millis(250);
 /// Probes and connects failed in a row before a member is left out; after this long it has started anew.
 const MISSES_TO_DROP: u32 = 3;
 const LONG_GONE: Span = Span::from_millis(1000);
@@ -48,19 +46,15 @@
 /// Share of an in-flight limit that reads may use on the primary, and marked repeats of reads anywhere.
 const READ_SHARE: f64 = 0.3;
 const REPEAT_SHARE: f64 = 0.1;
-/// Turns among equals are drawn by chance within this part of one RPC.
-const TURN_SPREAD: f64 = 1.0;
 /// A turn at a member of another zone weighs this much more.
 const FAR: f64 = 2.0;
-/// What is learnt of the way to a zone counts for eight times this long; a member that is missed weighs like
-/// so many usual answer times; a way is troubled from this multiple of the times in its own zone.
+/// Buckets of what is learnt of the way to a zone; what a miss weighs; trouble, in times of its own zone.
 const WAY: Span = Span::from_millis(2500);
 const WAY_MISSED: f64 = 8.0;
 const WAY_TROUBLED: f64 = 2.0;
 /// Answer times spread: this multiple of the usual one must fit.
 const MARGIN: f64 = 1.5;
-/// A member is crowded that holds, or answers in, this multiple of its size, or of the usual time; what a second of
-/// it leaves at least of the part of the reads that may go there, what one without gives back, and the least part.
+/// Crowded: this multiple of its size, or of the usual time; what a second then leaves of its part, or adds.
 const CROWD: f64 = 3.0;
 const PART_CUT: f64 = 0.5;
 const PART_GROWTH: f64 = 1.25;
@@ -78,15 +72,13 @@
 const START_MOST: f64 = 4.0;
 const START_LEAST: f64 = 0.5;
 const LIMIT_LEAST: f64 = 0.1;
-const LIMIT_MOST: f64 = 200.0;
 /// What being turned away leaves of a limit; answer time over the usual one in a jam, and once it is over.
 const LIMIT_CUT: f64 = 0.65;
 const JAMMED: f64 = 2.0;
 const QUICK: f64 = 1.2;
 /// The shortest answer time is taken to be no more than this part of the soft deadline.
 const SOFT_PART: f64 = 0.2;
-/// What a cold primary gets of the writes, in ramps, and over how many times the span in which it could fall
-/// over it takes up what waited; what a cold replica gets of the reads, in fair shares.
+/// Ramps of the writes for a cold primary, over so many spans of overload; fair shares for a cold replica.
 const COLD_WRITES: f64 = 1.5;
 const COLD_SPREAD: f64 = 3.0;
 const COLD_READS: f64 = 2.0;
@@ -100,8 +92,7 @@
 const QUICKEST: f64 = 0.2;
 /// Part of the longest time to come back that is named, spread by chance, while an answer could still earn.
 const COME_BACK: f64 = 0.35;
-/// Under the front's own pressure: ranks of each of four bands, steps for each doubling of utility by cost, and
-/// the doublings at which they begin; the least part of the longest time to come back that is named.
+/// Ranks a band; steps a doubling of utility by cost, from where; least part of a time to come back.
 const BAND: f64 = 64.0;
 const RANK_STEPS: f64 = 4.0;
 const RANK_FROM: f64 = 8.0;
@@ -110,8 +101,7 @@
 const FORGET: Span = Span::from_millis(30_000);
 /// Evidence of a role younger than this outweighs the list.
 const LIST_LAG: Span = Span::from_millis(10_000);
-/// A failed list call is made again after this long, doubled up to the sixteenfold; the next one within these
-/// parts of the time in which one is due.
+/// A failed list call is made again after this long, doubled up to 16 times; the next in this part of it.
 const LIST_AGAIN: Span = Span::from_millis(500);
 const LIST_DUE: f64 = 0.4;
 
@@ -128,18 +118,20 @@
     probes_at: Time,
     ask_at: Option<Time>,
     ask_failures: u32,
-    notes: Vec<String>,
-    forgotten: Vec<MemberId>,
-    tell: Vec<News>,
+    /// What the next `tend` says.
+    upkeep: Upkeep,
     least_bound: Span,
+    tell_every: Span,
 }
 
 impl Router {
     pub fn start(now: Time, seed: u64, deployment: Deployment) -> Router {
         let row = |method: &Method| Row::new(method, method.soft_deadline * SOFT_PART, USUAL);
         let bounds = deployment.methods.iter().filter_map(|method| method.level.bound());
+        let least_bound = bounds.min().unwrap_or(ANY_BOUND);
         Router {
-            least_bound: bounds.min().unwrap_or(ANY_BOUND),
+            tell_every: least_bound * TELL_PART,
+            least_bound,
             taken: Ring::new(MEASURE),
             probes_at: now,
             rows: deployment.methods.iter().map(row).collect(),
@@ -151,9 +143,7 @@
             rpcs: Slots::default(),
             sessions: Sessions::default(),
             ask_failures: 0,
-            notes: Vec::new(),
-            forgotten: Vec::new(),
-            tell: Vec::new(),
+            upkeep: Upkeep::default(),
         }
     }
 
@@ -173,18 +163,15 @@
             return (rpc, self.shed(rpc, strain.pressure));
         }
         let first = self.fleet.reach_group(arrival.group).held.is_empty();
-        let decision = if first { self.place(now, rpc) } else { self.hold(rpc) };
-        (rpc, decision)
+        (rpc, if first { self.place(now, rpc) } else { self.hold(rpc) })
     }
 
-    /// Where an RPC stands among those that want the front itself, up to `RANKS`. First to go is what could not
-    /// be answered in time, then who floods, then repeats, then what is of least utility for its cost.
+    /// Where an RPC stands among those that want the front: what would be late goes first, then who floods,
+    /// then repeats, then what is of least utility for its cost.
     pub fn rank(&self, now: Time, arrival: &Arrival, strain: &Strain) -> u32 {
         let row = &self.rows[arrival.method as usize];
         let answered = now + strain.delay + row.usual;
-        let wanted_by =
-            if row.method.late > 0.0 { arrival.due } else { arrival.due.min(now + row.method.soft_deadline) };
-        let band = match (answered >= wanted_by, strain.floods, arrival.resent) {
+        let band = match (answered >= row.wanted_by(now, arrival.due), strain.floods, arrival.resent) {
             (true, _, _) => 0.0,
             (_, true, _) => 1.0,
             (_, _, true) => 2.0,
@@ -204,14 +191,12 @@
 
     /// The ordinary path of an RPC: who may serve it, who of these has least in flight, else the primary.
     fn place(&mut self, now: Time, rpc: Rpc) -> Decision {
-        let state = &self.rpcs[rpc];
-        let row = &self.rows[state.arrival.method as usize];
+        let (state, row) = (&self.rpcs[rpc], self.row(rpc));
         let group_index = state.arrival.group as usize;
         let group = &self.fleet.groups[group_index];
-        // No effect twice: also where it was held, or never got through, since one that may have run.
+        // No effect twice, also since one that may have run; a repeat has the way and a queue ahead of it.
         let may_run = match (row.method.effect, state.risked) {
             (Effect::Idempotent, _) | (_, None) => true,
-            // The repeat has the way and a queue ahead of it.
             (Effect::Tokened { window, .. }, Some(first)) => now + row.usual * MARGIN - first < window,
             (Effect::NonIdempotent, Some(_)) => false,
         };
@@ -238,22 +223,21 @@
         };
         // The filter and the pick: fewest in flight among the replicas that pass, ties in turn.
         let mut best: Option<(f64, f64, usize)> = None;
-        // A marked repeat competes with first tries, of which more are still wanted: it gets what is idle.
+        // A marked repeat competes with first tries, more wanted than it: it gets what is idle.
         let repeat = state.arrival.resent && row.method.effect == Effect::Idempotent;
         let spare = if repeat { REPEAT_SHARE } else { 1.0 };
         let mut chance = self.chance.clone();
-        // The next pick among those that no news speaks for or against, and whether one is being asked.
+        // The next pick among those that no news speaks for, and whether one is being asked.
         let (mut unsure, mut asked): (Option<(f64, f64, usize)>, bool) = (None, false);
         for &index in if primary_only { &[][..] } else { &group.members } {
             let member = self.fleet.member(index);
             if Some(index) == group.primary || !self.usable(now, index, rpc) {
                 continue;
             }
-            let load = self.load(now, member);
-            let next = row.usual.secs() * TURN_SPREAD * -(1.0 - chance.generate::<f64>()).ln();
+            let next = -(1.0 - chance.generate::<f64>()).ln() * row.usual.secs();
             let sent = member.sent.last(now, 8).1 / self.ramp(now, member).unwrap_or(1.0);
-            let far = if member.zone == 0 { 1.0 } else { FAR };
-            let turn = (sent + next) * self.stretch(now, member, 8) * far;
+            let stretch = self.stretch(now, member, 8) * if member.zone == 0 { 1.0 } else { FAR };
+            let key = (self.load(now, member), (sent + next) * stretch, index);
             // Any data will do, within reason: a lag that was told leaves one out.
             let passes = match level {
                 Level::Any => member.lag.is_none_or(|lag| lag < ANY_BOUND),
@@ -263,19 +247,17 @@
                 asked |= member.probe_sent.map_or(member.probe_at <= now, |sent| now - sent < ASK_WAIT);
                 if member.probe_sent.is_none()
                     && level != Level::Any
-                    && unsure.is_none_or(|(least, first, _)| (load, turn) < (least, first))
-                    && self.may_have_caught_up(now, member, needs)
+                    && unsure.is_none_or(|least| key < least)
+                    && Router::may_have_caught_up(now, member, needs)
                     && self.told_soon(index) <= now
                 {
-                    unsure = Some((load, turn, index));
+                    unsure = Some(key);
                 }
                 continue;
             }
-            if !self.room(now, index, rpc, spare * self.headroom(now, member, needs)) {
-                continue;
-            }
-            if best.is_none_or(|(least, first, _)| (load, turn) < (least, first)) {
-                best = Some((load, turn, index));
+            let share = spare * self.headroom(now, member, needs);
+            if best.is_none_or(|least| key < least) && self.room(now, index, rpc, share) {
+                best = Some(key);
             }
         }
         let mut picked = best.map(|(_, _, index)| index);
@@ -283,13 +265,13 @@
         let ask = unsure.filter(|_| !asked).map(|(_, _, index)| index);
         let waits = picked.is_none() && self.deployment.probes_tell && (asked || ask.is_some());
         // The spill, which leaves the writes their place.
-        let share = if primary_only { 1.0 } else { READ_SHARE };
+        let share = spare * if primary_only { 1.0 } else { READ_SHARE };
         if picked.is_none()
             && !waits
             && let Some(index) = group.primary
             && self.usable(now, index, rpc)
             && self.fleet.member(index).misses == 0
-            && self.room(now, index, rpc, share * spare)
+            && self.room(now, index, rpc, share)
         {
             picked = Some(index);
         }
@@ -316,19 +298,17 @@
         self.fleet.member(index).told_at + wait
     }
 
-    /// The turn of this router to ask a member: another order for each news of it, so that none is always first.
+    /// The turn of this router to ask a member: another order for each news of it.
     fn turn(&self, index: usize) -> f64 {
         let first = WyRand::new_seed(self.fleet.member(index).order()).generate::<u64>() / 2;
         ((u64::from(self.deployment.me) + first) % u64::from(self.deployment.routers.max(1))) as f64
     }
 
-    /// A probe of it is due now.
+    /// A probe of it is due, not more often than it can have news.
     fn ask(&mut self, now: Time, index: usize) {
-        // Not more often than it can have news.
-        let told = self.told_soon(index);
+        let due = self.told_soon(index).max(self.fleet.member(index).probed_at + PROBE_AGAIN);
         let member = self.fleet.member_mut(index);
         if member.probe_sent.is_none() {
-            let due = told.max(member.probed_at + PROBE_AGAIN);
             member.probe_at = member.probe_at.min(now.max(due));
             self.probes_at = self.probes_at.min(member.probe_at);
         }
@@ -343,18 +323,16 @@
         Decision::CallOut { member: member.id, limit }
     }
 
-    /// How long a first call-out is waited for, where a second one can still be answered in time and is allowed.
+    /// How long a first call-out over a troubled way is waited for, so that a second can still be in time.
     fn patience(&self, now: Time, rpc: Rpc, index: usize) -> Option<Span> {
-        let state = &self.rpcs[rpc];
-        let row = &self.rows[state.arrival.method as usize];
+        let (state, row) = (&self.rpcs[rpc], self.row(rpc));
         let again = row.usual * MARGIN;
         let limit = match row.method.effect {
             Effect::Idempotent => state.taken + row.method.soft_deadline - now - again,
             Effect::Tokened { window, .. } => window - again * 2.0,
             Effect::NonIdempotent => return None,
         };
-        let zone = self.fleet.member(index).zone;
-        let troubled = self.way(now, zone) > WAY_TROUBLED;
+        let troubled = self.way(now, self.fleet.member(index).zone) > WAY_TROUBLED;
         (troubled && state.callouts == 0 && limit >= row.usual * SILENCE).then_some(limit)
     }
 
@@ -368,15 +346,13 @@
 
     /// The final answer of an RPC that will not be served here.
     fn give_up(&mut self, now: Time, rpc: Rpc) -> Decision {
-        let state = &self.rpcs[rpc];
-        let method = &self.rows[state.arrival.method as usize].method;
-        let harmless = match method.effect {
+        let (state, row) = (&self.rpcs[rpc], self.row(rpc));
+        let harmless = match row.method.effect {
             Effect::Idempotent => true,
             Effect::Tokened { anywhere, .. } => anywhere || state.risked.is_none(),
             Effect::NonIdempotent => state.risked.is_none(),
         };
-        let over = now + self.rows[state.arrival.method as usize].usual >= self.wanted_by(rpc)
-            || state.failed.len() >= ERRORS;
+        let over = now + row.usual >= self.wanted_by(rpc) || state.failed.len() >= ERRORS;
         let longest = self.deployment.longest_come_back;
         let part = COME_BACK * (0.5 + self.chance.generate::<f64>());
         let come_back = if over { longest } else { longest * part };
@@ -386,17 +362,17 @@
 
     /// When an answer stops earning anything.
     fn wanted_by(&self, rpc: Rpc) -> Time {
-        let state = &self.rpcs[rpc];
-        let method = &self.rows[state.arrival.method as usize].method;
-        let soft = state.taken + method.soft_deadline;
-        if method.late > 0.0 { state.arrival.due } else { state.arrival.due.min(soft) }
+        self.row(rpc).wanted_by(self.rpcs[rpc].taken, self.rpcs[rpc].arrival.due)
+    }
+
+    fn row(&self, rpc: Rpc) -> &Row {
+        &self.rows[self.rpcs[rpc].arrival.method as usize]
     }
 
     /// May this RPC go to it now? Not where it would be answered too late; with nothing out that fades soon.
     fn usable(&self, now: Time, index: usize, rpc: Rpc) -> bool {
         let member = self.fleet.member(index);
-        let state = &self.rpcs[rpc];
-        let usual = self.rows[state.arrival.method as usize].usual;
+        let (state, usual) = (&self.rpcs[rpc], self.row(rpc).usual);
         let (count, sum) = member.stretch.last(now, if member.out.is_empty() { 2 } else { 4 });
         let own = (sum + STAND_IN * self.crowding(now, member)) / (count + STAND_IN);
         let own = own.max(self.way(now, member.zone));
@@ -408,7 +384,7 @@
     }
 
     /// Its last news is old, or told of a lag that it may have made up since.
-    fn may_have_caught_up(&self, now: Time, member: &Member, needs: Time) -> bool {
+    fn may_have_caught_up(now: Time, member: &Member, needs: Time) -> bool {
         let excess = member.told_at - member.position - (now - needs);
         excess <= Span::ZERO || now - member.told_at >= CATCH_UP_LEAST.max(excess * CATCH_UP)
     }
@@ -418,8 +394,7 @@
     fn room(&self, now: Time, index: usize, rpc: Rpc, share: f64) -> bool {
         let member = self.fleet.member(index);
         let limit = member.limit * share;
-        let usual = self.rows[self.rpcs[rpc].arrival.method as usize].usual;
-        let idle_for = usual * (self.stretch(now, member, 4) / limit);
+        let idle_for = self.row(rpc).usual * (self.stretch(now, member, 4) / limit);
         self.in_flight(now, member) < limit.max(1.0) && (limit >= 1.0 || now - member.sent_at >= idle_for)
     }
 
@@ -442,7 +417,7 @@
     /// Answer times from another zone over those from its own: a way that is slow or loses what goes there.
     fn way(&self, now: Time, zone: u32) -> f64 {
         let mean = |zone: u32| {
-            let (count, sum) = self.fleet.ways.get(zone as usize).map_or((0.0, 0.0), |way| way.last(now, 8));
+            let (count, sum) = self.fleet.ways.get(zone as usize).map_or((0.0, 0.0), |w| w.last(now, 8));
             (sum + STAND_IN) / (count + STAND_IN)
         };
         if zone == 0 { 1.0 } else { mean(zone) / mean(0).max(1.0) }
@@ -455,8 +430,7 @@
         self.in_flight(now, member) + member.failures.last(now, 4).1 * FAILURE_LOAD + silence
     }
 
-    /// A call-out far past its time, though the member has answered one that was sent later, was lost on the
-    /// way: it says nothing of a jam, and takes no room.
+    /// Far past its time, though one sent later was answered: lost on the way, says nothing of a jam.
     fn is_lost(&self, now: Time, member: &Member, sent: Time, method: u32) -> bool {
         sent < member.answered && now - sent > self.rows[method as usize].usual * LOST
     }
@@ -472,21 +446,16 @@
     /// Present answer time over the usual one; where few answers tell, those of its kind of machine stand in.
     fn stretch(&self, now: Time, member: &Member, back: usize) -> f64 {
         let (count, sum) = member.stretch.last(now, back);
-        let pace = self.pace(now, member.kind, back) * self.crowding(now, member);
+        let pace = self.fleet.paces.get(member.kind as usize).map_or((0.0, 0.0), |p| p.last(now, back));
+        let pace = (pace.1 + 4.0) / (pace.0 + 3.0) * self.crowding(now, member);
         (sum + STAND_IN * pace) / (count + STAND_IN)
     }
 
-    fn pace(&self, now: Time, kind: u32, back: usize) -> f64 {
-        let (all, total) = self.fleet.paces.get(kind as usize).map_or((0.0, 0.0), |p| p.last(now, back));
-        (total + 4.0) / (all + 3.0)
-    }
-
-    /// Routers with little traffic have nothing in flight that a limit could bind: all that hear how much a member
+    /// Routers of little traffic have nothing in flight that a limit binds: all that hear how much a member
     /// holds, or how slowly it answers, take the same part of their reads from it, or give it back.
     fn regulate(&mut self, now: Time, index: usize) {
         let member = self.fleet.member(index);
-        let held = member.holds.zip(member.size).map(|(holds, size)| (holds + 1.0) / size);
-        let crowd = held.unwrap_or_else(|| self.stretch(now, member, 4));
+        let crowd = member.crowd().unwrap_or_else(|| self.stretch(now, member, 4));
         let step = if crowd > CROWD { (CROWD / crowd).max(PART_CUT) } else { PART_GROWTH };
         let member = self.fleet.member_mut(index);
         let since = (now - member.part_at).secs().min(1.0);
@@ -495,30 +464,26 @@
 
     /// One that holds more than it works on at once is in a jam; many routers know it only by its reports.
     fn crowding(&self, now: Time, member: &Member) -> f64 {
-        let held = member.holds.filter(|_| now - member.told_at < NEWS_AGE);
-        held.zip(member.size).map_or(1.0, |(holds, size)| ((holds + 1.0) / size).max(1.0))
+        if now - member.told_at < NEWS_AGE { member.crowd().unwrap_or(1.0).max(1.0) } else { 1.0 }
     }
 
-    /// A cold member is in the pick for a part of the RPCs only: its ramp, of a fair share of the group at
-    /// its largest; if each router keeps that, so does their sum. Writes have nowhere else to go; what waited
-    /// for a cold primary does not come all at once.
+    /// A cold member gets its ramp of a fair share of the group at its largest; if each router keeps that, so does
+    /// their sum. What waited for a cold primary does not come all at once.
     fn warm_enough(&self, now: Time, index: usize, rpc: Rpc) -> bool {
         let state = &self.rpcs[rpc];
         let lucky = (state.luck + index as f64 * 0.618) % 1.0;
-        let write = self.rows[state.arrival.method as usize].method.level == Level::Write;
-        if !write && lucky >= self.fleet.member(index).part {
-            return false;
-        }
-        let Some(ramp) = self.ramp(now, self.fleet.member(index)) else { return true };
+        let level = self.row(rpc).method.level;
+        let part = if level == Level::Write { 1.0 } else { self.fleet.member(index).part };
+        let Some(ramp) = self.ramp(now, self.fleet.member(index)) else { return lucky < part };
         let group = &self.fleet.groups[state.arrival.group as usize];
-        let part = match self.rows[state.arrival.method as usize].method.level {
+        let share = match level {
             Level::Fresh | Level::Write => {
                 let spread = self.deployment.overload_for * COLD_SPREAD;
                 COLD_WRITES * ((now - group.primary_at).secs() / spread.secs().max(1e-3)).min(1.0)
             }
             _ => (COLD_READS / group.largest.max(1) as f64).min(1.0),
         };
-        lucky < ramp * part
+        lucky < part.min(ramp * share)
     }
 
     /// The part of its capacity that a cold member is sure to have; None once it is warm.
@@ -534,8 +499,8 @@
         let (entries, whole) = match news {
             ListNews::Failed => {
                 self.ask_failures += 1;
-                let spread = 0.5 + self.chance.generate::<f64>();
-                let wait = LIST_AGAIN * f64::from(1 << self.ask_failures.min(4)) * spread;
+                let wait = LIST_AGAIN * f64::from(1 << self.ask_failures.min(4));
+                let wait = wait * (0.5 + self.chance.generate::<f64>());
                 self.ask_at = self.deployment.must_ask.map(|most| now + wait.min(most * LIST_DUE));
                 return;
             }
@@ -556,7 +521,7 @@
             self.fleet.count_members(group);
             self.find_primary(now, group);
         }
-        self.forgotten.extend(self.fleet.forget(now - FORGET));
+        self.upkeep.forgotten.extend(self.fleet.forget(now - FORGET));
     }
 
     fn listed(&mut self, now: Time, entry: &Entry) {
@@ -568,13 +533,9 @@
             let mut member = Member::new(entry.member, entry.group as usize, limit, MEASURE, sent);
             member.mark = entry.mark;
             self.fleet.add(member);
-            let first = if self.shares_probes() {
-                self.probe_span(now, index) - self.tell_every()
-            } else {
-                self.probe_every(now) * self.chance.generate::<f64>()
-            };
+            let first = (self.probe_span(now, index) - self.tell_every).max(Span::ZERO);
             let member = self.fleet.member_mut(index);
-            member.probe_at = now + first.max(Span::ZERO);
+            member.probe_at = now + first;
             self.probes_at = self.probes_at.min(member.probe_at);
         }
         let subtle = self.deployment.soft_removal && entry.standing == Standing::Off;
@@ -615,7 +576,7 @@
         if best != state.primary {
             (state.primary, state.primary_at) = (best, now);
             let named = best.map_or("unknown".to_owned(), |index| format!("#{index}"));
-            self.notes.push(format!("group {group}: primary is {named}"));
+            self.upkeep.notes.push(format!("group {group}: primary is {named}"));
         }
     }
 
@@ -637,9 +598,8 @@
         self.fleet.groups[group].heard = true;
         if let Some(position) = report.position {
             let age = now - position;
-            self.fleet.member_mut(index).holds = report.holds;
+            self.fleet.member_mut(index).reported(age, report.holds);
             self.regulate(now, index);
-            self.fleet.member_mut(index).report_age = Some(age);
             // Reports may be late: the primary's, which stands at the present, shows by how much.
             let primary = self.fleet.groups[group].primary;
             let late = primary.map(|p| self.fleet.member(p).report_age.unwrap_or(Span::ZERO));
@@ -660,43 +620,26 @@
         }
     }
 
-    /// What another router was told. A position once told stays true, however late, doubled or out of order its
-    /// news; one ahead of the clock is none. A member that no list has named stays unknown.
+    /// What another router was told. A position stays true, however late; none is ahead of the clock.
+    /// A member that no list has named stays unknown.
     pub fn told(&mut self, now: Time, news: News) {
         let index = news.member.0 as usize;
         if !self.fleet.knows(news.member) || news.at > now {
             return;
         }
         let member = self.fleet.member_mut(index);
-        let role = match news.word {
-            Word::Replica => Role::Replica,
-            Word::Primary => Role::Primary,
+        let Some(role) = member.heard_of(now, &news) else {
             // It counts as one miss, where it is not a word of old and this router has heard nothing since.
-            Word::Lost => {
-                member.lost_at = now;
-                if news.near && now - news.at < LONG_GONE && member.silent_from < news.at {
-                    self.missed(now, index, true);
-                }
-                return;
+            if news.near && now - news.at < LONG_GONE && member.silent_from < news.at {
+                self.missed(now, index, true);
             }
+            return;
         };
-        (member.shared, member.shared_at, member.told_at) = (member.shared.max(news.at), now, now);
-        if news.holds.is_some() {
-            member.holds = news.holds;
-        }
-        if news.holds.is_some() || news.stretch > 0.0 {
-            self.regulate(now, index);
-        }
-        let member = self.fleet.member_mut(index);
+        self.regulate(now, index);
         if news.stretch > 0.0 {
-            member.learnt(now, news.stretch, false);
             // Its answer came before it was told: it shows no more than a cut made since.
             self.follow(now, index, now - self.least_usual() * news.stretch, false);
         }
-        let member = self.fleet.member_mut(index);
-        if role == Role::Replica && news.at > member.position {
-            member.lag = Some(now - news.at);
-        }
         self.told_position(now, index, news.at);
         if news.near && self.fleet.member(index).misses > 0 {
             self.answered(now, index);
@@ -707,24 +650,15 @@
         self.find_primary(now, group);
     }
 
-    fn shares_probes(&self) -> bool {
-        self.deployment.peers && self.deployment.probes_tell
-    }
-
-    fn tell_every(&self) -> Span {
-        self.least_bound * TELL_PART
-    }
-
-    /// Tells the other routers what this one was told by the member itself, if they are not likely to know it.
+    /// Tells the other routers what this one was told by the member itself, unless they know it already.
     fn share(&mut self, now: Time, index: usize, word: Word, at: Time, stretch: f64) {
         let holds = self.fleet.member(index).holds;
-        let group = &self.fleet.groups[self.fleet.member(index).group];
-        let step = if group.primary.is_none() { TELL_LEADERLESS } else { Span::MAX };
-        let step = step.min(self.tell_every());
+        let led = self.fleet.groups[self.fleet.member(index).group].primary.is_some();
+        let step = if led { self.tell_every } else { self.tell_every.min(TELL_LEADERLESS) };
         let member = self.fleet.member_mut(index);
         if self.deployment.peers && now - member.shared_at >= step {
             (member.shared, member.shared_at) = (member.shared.max(at), now);
-            self.tell.push(News { member: member.id, word, at, near: true, stretch, holds });
+            self.upkeep.tell.push(News { member: member.id, word, at, near: true, stretch, holds });
         }
     }
 
@@ -745,7 +679,7 @@
         let member = self.fleet.member_mut(index);
         if member.misses >= MISSES_TO_DROP {
             member.cold_from = if now - member.miss_from > LONG_GONE { Some(now) } else { member.cold_from };
-            self.notes.push(format!("#{index} is back"));
+            self.upkeep.notes.push(format!("#{index} is back"));
         }
         (member.misses, member.silent_from) = (0, now);
     }
@@ -763,25 +697,24 @@
         }
         if self.deployment.peers && !heard && now - member.lost_at >= LONG_GONE {
             member.lost_at = now;
-            let (member, word) = (member.id, Word::Lost);
-            self.tell.push(News { member, word, at: now, near: true, stretch: 0.0, holds: None });
+            self.upkeep.tell.push(News::lost(member.id, now));
         }
         if self.fleet.member(index).misses == MISSES_TO_DROP {
-            self.notes.push(format!("#{index} is left out: {MISSES_TO_DROP} misses in a row"));
+            self.upkeep.notes.push(format!("#{index} is left out: {MISSES_TO_DROP} misses in a row"));
         }
         if first {
             self.fleet.reach_way(zone, WAY).add(now, WAY_MISSED);
         }
     }
 
-    fn learn_answer(&mut self, now: Time, index: usize, method: u32, sent: Time, took: Span) {
+    fn learn_answer(&mut self, now: Time, index: usize, method: u32, sent: Time, took: Span) -> f64 {
         let row = &mut self.rows[method as usize];
         row.answers.add(now, took.secs());
         let (count, sum) = row.answers.last(now, 8);
         let usual = row.answers.least_mean(now, 8.0).unwrap_or(sum / count);
         // A jam from the start on must not pass for the usual.
-        let usual = usual.min(row.method.soft_deadline.secs() * SOFT_PART);
-        let usual = usual.max(self.deployment.tick.secs() * QUICKEST);
+        let most = row.method.soft_deadline.secs() * SOFT_PART;
+        let usual = usual.min(most).max(self.deployment.tick.secs() * QUICKEST);
         row.usual = Span::from_secs_f64(usual);
         let stretch = took.secs() / usual.max(1e-6);
         // One as quick as usual shows that what jammed it is over, which the window would remember for long.
@@ -794,9 +727,10 @@
             self.fleet.reach_pace(kind, MEASURE).add(now, stretch);
         }
         self.follow(now, index, sent, true);
+        stretch
     }
 
-    /// The limit in flight follows shortest answer time over the present one; what others met lowers it alone.
+    /// The limit follows shortest answer time over the present one; what others met lowers it alone.
     fn follow(&mut self, now: Time, index: usize, sent: Time, own: bool) {
         let ratio = 1.0 / self.stretch(now, self.fleet.member(index), 4).max(1.0);
         let used = self.in_flight(now, self.fleet.member(index)) + 1.0;
@@ -807,7 +741,7 @@
             let cut = member.limit.min(used * 2.0) * 0.75 + wanted.min(used * 2.0) * 0.25;
             self.cut(now, index, sent, cut);
         } else if own && used * 2.0 > member.limit {
-            member.limit = (member.limit * 0.75 + wanted * 0.25).min(LIMIT_MOST);
+            member.limit = member.limit * 0.75 + wanted * 0.25;
         }
     }
 
@@ -821,37 +755,33 @@
 
     /// Decides what is held, and says what is due: probes, list calls, the next look.
     pub fn tend(&mut self, now: Time) -> Upkeep {
-        let mut upkeep = Upkeep::default();
         let mut wake = now + Span::MAX;
         for group in 0..self.fleet.groups.len() {
-            self.tend_held(now, group, &mut upkeep);
+            self.tend_held(now, group);
             if !self.fleet.groups[group].held.is_empty() {
                 wake = wake.min(now + HELD_EVERY);
             }
         }
         if self.deployment.probes {
             if self.probes_at <= now {
-                self.tend_probes(now, &mut upkeep);
+                self.tend_probes(now);
             }
             wake = wake.min(self.probes_at);
         }
         if let Some(at) = self.ask_at {
             if at <= now {
-                upkeep.ask_list = true;
+                self.upkeep.ask_list = true;
                 let spread = 0.75 + 0.5 * self.chance.generate::<f64>();
                 self.ask_at = self.deployment.must_ask.map(|most| now + most * (LIST_DUE * spread));
             }
             wake = wake.min(self.ask_at.unwrap_or(wake));
         }
-        upkeep.notes = std::mem::take(&mut self.notes);
-        upkeep.forgotten = std::mem::take(&mut self.forgotten);
-        upkeep.tell = std::mem::take(&mut self.tell);
-        upkeep.wake = Some(wake.max(now + self.deployment.tick));
-        upkeep
+        self.upkeep.wake = Some(wake.max(now + self.deployment.tick));
+        std::mem::take(&mut self.upkeep)
     }
 
     /// Held RPCs in the order of utility for the work they cost, the newest first: the others may soon leave.
-    fn tend_held(&mut self, now: Time, group: usize, upkeep: &mut Upkeep) {
+    fn tend_held(&mut self, now: Time, group: usize) {
         // Guards a busy loop: a long queue is not sorted again for each answer.
         let state = &mut self.fleet.groups[group];
         if state.held.len() > HELD_MANY && now - state.tended_at < self.deployment.tick * HELD_REST {
@@ -869,7 +799,7 @@
         held.retain(|&rpc| match self.place(now, rpc) {
             Decision::Hold => true,
             decision => {
-                upkeep.decisions.push((rpc, decision));
+                self.upkeep.decisions.push((rpc, decision));
                 false
             }
         });
@@ -877,31 +807,28 @@
     }
 
     fn density(&self, now: Time, rpc: Rpc) -> f64 {
-        let state = &self.rpcs[rpc];
-        let row = &self.rows[state.arrival.method as usize];
+        let (state, row) = (&self.rpcs[rpc], self.row(rpc));
         let late = now + row.usual >= state.taken + row.method.soft_deadline;
         row.method.utility * if late { row.method.late } else { 1.0 } / row.usual.secs().max(1e-6)
     }
 
     /// How long a round of periodic probes takes.
     fn probe_every(&self, now: Time) -> Span {
-        let (taken, _) = self.taken.last(now, 8);
-        let probes = taken / (MEASURE.secs() * 8.0) * PROBE_SHARE;
+        let probes = self.taken.last(now, 8).0 / (MEASURE.secs() * 8.0) * PROBE_SHARE;
         let round = Span::from_secs_f64(self.fleet.on_list() as f64 / probes.max(1e-3));
         round.max(PROBE_EVERY).min(PROBE_SLOWEST)
     }
 
-    /// Routers that tell each other share one round: by turns, another order for each position told, so that a
-    /// turn that is missed falls to the next.
+    /// Routers that tell each other share one round, by turns; a turn that is missed falls to the next.
     fn probe_span(&mut self, now: Time, index: usize) -> Span {
         let own = self.probe_every(now);
-        if !self.shares_probes() {
+        if !self.deployment.shares_probes() {
             return own * (0.75 + 0.5 * self.chance.generate::<f64>());
         }
-        (PROBE_EVERY.max(self.tell_every()) + SHARED_TURN * self.turn(index)).min(PROBE_SLOWEST)
+        (PROBE_EVERY.max(self.tell_every) + SHARED_TURN * self.turn(index)).min(PROBE_SLOWEST)
     }
 
-    fn tend_probes(&mut self, now: Time, upkeep: &mut Upkeep) {
+    fn tend_probes(&mut self, now: Time) {
         self.probes_at = now + PROBE_EVERY;
         for index in 0..self.fleet.members.len() {
             let Some(member) = &mut self.fleet.members[index] else { continue };
@@ -913,64 +840,28 @@
                 self.missed(now, index, false);
             }
             let every = self.probe_span(now, index);
-            let shared = self.shares_probes();
             let member = self.fleet.member_mut(index);
             // The round may have become shorter since; where it is shared, the first one goes by turns too.
             let told_at = member.probed_at.max(member.told_at);
-            if told_at != Time::NEVER || !shared {
+            if told_at != Time::NEVER || !self.deployment.shares_probes() {
                 member.probe_at = member.probe_at.min(told_at + every);
             }
             if member.probe_sent.is_none() && member.probe_at <= now {
-                member.probe_sent = Some(now);
-                member.probed_at = now;
-                member.probe_at = now + every;
-                upkeep.probes.push(member.id);
+                member.probe_goes(now, every);
+                self.upkeep.probes.push(member.id);
             }
+            let member = self.fleet.member(index);
             let next = member.probe_sent.map_or(member.probe_at, |sent| sent + PROBE_LOST);
             self.probes_at = self.probes_at.min(next);
         }
     }
-}
 
-impl Rpc {
-    /// A call-out of this RPC has ended.
-    pub fn ended(self, router: &mut Router, now: Time, outcome: Outcome) -> Decision {
-        let index = outcome.member.0 as usize;
-        let Some(state) = router.rpcs.find(self) else { return Decision::Done };
-        let (arrival, sent) = (state.arrival, state.sent);
-        let failed = state.came_back(now, index, outcome.ended);
-        let over = outcome.complete || !state.live;
-        let at_fault = state.failed.len() >= ERRORS;
-        for index in failed {
-            router.fleet.members[index].iter_mut().for_each(|member| member.failures.add(now, 1.0));
-        }
-        router.heard(now, index, &outcome, arrival, sent);
-        if over {
-            router.rpcs.close(self);
-            return Decision::Done;
-        }
-        if !outcome.ended.never_ran() {
-            router.rpcs[self].risked.get_or_insert(sent);
-        }
-        if outcome.ended == Ended::Void || at_fault {
-            return router.give_up(now, self);
-        }
-        router.place(now, self)
-    }
-
-    /// The client has gone, or its time is over: nothing is owed any more.
-    pub fn left(self, router: &mut Router) {
-        router.rpcs.close(self);
-    }
-}
-
-impl Router {
     /// What the outcome of a call-out tells of the member.
     fn heard(&mut self, now: Time, index: usize, outcome: &Outcome, arrival: Arrival, sent: Time) {
-        let level = self.rows[arrival.method as usize].method.level;
-        let member = self.fleet.member(index);
+        let row = &self.rows[arrival.method as usize];
+        let (level, member) = (row.method.level, self.fleet.member(index));
         // An impatient client's time is up before it tells anything of the member.
-        let hasty = outcome.took < self.rows[arrival.method as usize].usual * SILENCE;
+        let hasty = outcome.took < row.usual * SILENCE;
         let lost =
             (hasty || self.is_lost(now, member, sent, arrival.method)) && outcome.ended == Ended::TimedOut;
         let member = self.fleet.member_mut(index);
@@ -997,8 +888,9 @@
             }
             Ended::Withdrawn | Ended::Void => {}
         }
+        let mut stretch = 0.0;
         if matches!(outcome.ended, Ended::Ok | Ended::TimedOut) && !lost {
-            self.learn_answer(now, index, arrival.method, sent, outcome.took);
+            stretch = self.learn_answer(now, index, arrival.method, sent, outcome.took);
         }
         if let Some(position) = outcome.position {
             let commit = outcome.ended == Ended::Ok && level == Level::Write;
@@ -1008,9 +900,6 @@
                 self.fleet.member_mut(index).lag = Some(now - position);
                 self.told_position(now, index, position);
                 if outcome.role == Some(Role::Replica) {
-                    let usual = self.rows[arrival.method as usize].usual.secs().max(1e-6);
-                    let ok = outcome.ended == Ended::Ok;
-                    let stretch = if ok { outcome.took.secs() / usual } else { 0.0 };
                     self.share(now, index, Word::Replica, position, stretch);
                 }
             }
@@ -1021,3 +910,35 @@
         }
     }
 }
+
+impl Rpc {
+    /// A call-out of this RPC has ended.
+    pub fn ended(self, router: &mut Router, now: Time, outcome: Outcome) -> Decision {
+        let index = outcome.member.0 as usize;
+        let Some(state) = router.rpcs.find(self) else { return Decision::Done };
+        let (arrival, sent) = (state.arrival, state.sent);
+        let failed = state.came_back(now, index, outcome.ended);
+        let over = outcome.complete || !state.live;
+        let at_fault = state.failed.len() >= ERRORS;
+        for index in failed {
+            router.fleet.members[index].iter_mut().for_each(|member| member.failures.add(now, 1.0));
+        }
+        router.heard(now, index, &outcome, arrival, sent);
+        if over {
+            router.rpcs.close(self);
+            return Decision::Done;
+        }
+        if !outcome.ended.never_ran() {
+            router.rpcs[self].risked.get_or_insert(sent);
+        }
+        if outcome.ended == Ended::Void || at_fault {
+            return router.give_up(now, self);
+        }
+        router.place(now, self)
+    }
+
+    /// The client has gone, or its time is over.
+    pub fn left(self, router: &mut Router) {
+        router.rpcs.close(self);
+    }
+}
--- a/crates/ladderpass-core/src/interface.rs
+++ b/crates/ladderpass-core/src/interface.rs
@@ -96,6 +96,13 @@
     pub soft_removal: bool,
 }
 
+impl Deployment {
+    /// A probe by one router saves the others theirs.
+    pub fn shares_probes(&self) -> bool {
+        self.peers && self.probes_tell
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
     On,
@@ -239,6 +246,12 @@
     pub holds: Option<f64>,
 }
 
+impl News {
+    pub fn lost(member: MemberId, at: Time) -> News {
+        News { member, word: Word::Lost, at, near: true, stretch: 0.0, holds: None }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
     /// Send it to this member; None: no limit but the client's own.
--- a/crates/ladderpass-core/src/state.rs
+++ b/crates/ladderpass-core/src/state.rs
@@ -180,6 +180,11 @@
     pub fn new(method: &Method, usual: Span, bucket: Span) -> Row {
         Row { method: method.clone(), answers: Ring::new(bucket), usual }
     }
+
+    /// When an answer to what was taken then stops earning anything.
+    pub fn wanted_by(&self, taken: Time, due: Time) -> Time {
+        if self.method.late > 0.0 { due } else { due.min(taken + self.method.soft_deadline) }
+    }
 }
 
 /// An RPC that was taken, until it is answered and nothing of it is out.
@@ -253,6 +258,41 @@
         (self.kind, self.zone, self.mark, self.size) = (entry.kind, entry.zone, entry.mark, entry.size);
     }
 
+    /// News of it from another router; the role that it tells, none where it was lost.
+    pub fn heard_of(&mut self, now: Time, news: &News) -> Option<Role> {
+        let role = match news.word {
+            Word::Replica => Role::Replica,
+            Word::Primary => Role::Primary,
+            Word::Lost => {
+                self.lost_at = now;
+                return None;
+            }
+        };
+        (self.shared, self.shared_at, self.told_at) = (self.shared.max(news.at), now, now);
+        self.holds = news.holds.or(self.holds);
+        if news.stretch > 0.0 {
+            self.learnt(now, news.stretch, false);
+        }
+        if role == Role::Replica && news.at > self.position {
+            self.lag = Some(now - news.at);
+        }
+        Some(role)
+    }
+
+    pub fn reported(&mut self, age: Span, holds: Option<f64>) {
+        (self.report_age, self.holds) = (Some(age), holds);
+    }
+
+    /// What it holds, by the last report, over what it works on at once.
+    pub fn crowd(&self) -> Option<f64> {
+        self.holds.zip(self.size).map(|(holds, size)| (holds + 1.0) / size)
+    }
+
+    /// A probe of it is out; the next is due after a round.
+    pub fn probe_goes(&mut self, now: Time, every: Span) {
+        (self.probe_sent, self.probed_at, self.probe_at) = (Some(now), now, now + every);
+    }
+
     /// A number that all routers that heard its last news agree on.
     pub fn order(&self) -> u64 {
         (self.shared.nanos() / 1_000_000) as u64 ^ u64::from(self.mark) << 20
