--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -467,8 +467,8 @@
         if now - member.told_at < NEWS_AGE { member.crowd().unwrap_or(1.0).max(1.0) } else { 1.0 }
     }
 
-    /// A cold member gets its ramp of a fair share of the group at its largest; if each router keeps that, so does
-    /// their sum. What waited for a cold primary does not come all at once.
+    /// A cold member gets its ramp of a fair share of the group at its largest: if each router keeps that, so
+    /// does their sum. What waited for a cold primary does not come all at once.
     fn warm_enough(&self, now: Time, index: usize, rpc: Rpc) -> bool {
         let state = &self.rpcs[rpc];
         let lucky = (state.luck + index as f64 * 0.618) % 1.0;
