The program: messages between routers by datagrams, zones and sizes, both shapes before one fleet

In the program messages need addresses of the operator's (peers), zones and sizes are his choice (members): without them nothing changes. Checked with line, key and what is allowed; ladderpass check tells them. Message form and marks went to ladderpass-deployment, used by both fronts.

--- a/crates/ladderpass-benchlink/src/main.rs
+++ b/crates/ladderpass-benchlink/src/main.rs
@@ -3,7 +3,6 @@
 //! Lines are decoded into calls and results are encoded as actions. Nothing is decided here.
 
 mod lines;
-mod whisper;
 mod wire;
 
 use std::io::{self, BufRead, Write};
--- a/crates/ladderpass-benchlink/src/wire.rs
+++ b/crates/ladderpass-benchlink/src/wire.rs
@@ -1,12 +1,12 @@
 //! From events to calls on a router, and from its results to actions.
 
 use crate::lines::{Line, ListLine};
-use crate::whisper;
 use ladderpass_core::{
     Arrival, Decision, Ended, Entry, ListNews, MemberId, News, Outcome, Report, Role, Router, Rpc, Span,
     Standing, Time,
 };
-use ladderpass_deployment::{self as settings, names::Names, names::group_index, names::mark};
+use ladderpass_deployment::names::{Marks, Names, group_index, mark};
+use ladderpass_deployment::{self as settings, whisper};
 use serde_json::Value;
 use std::collections::HashMap;
 use std::fmt::Write;
@@ -43,8 +43,7 @@
     sized: bool,
     /// The letter of its own zone.
     zone: u32,
-    /// Nodes by their mark; none where two have the same.
-    marks: HashMap<u32, Option<MemberId>>,
+    marks: Marks,
     groups: HashMap<u64, u32>,
     sessions: Names,
     /// Not yet concluded, or with a call-out still out.
@@ -219,7 +218,7 @@
             zones,
             sized: facts.sized,
             zone: mark(facts.zone.as_deref().unwrap_or_default()) & 63,
-            marks: HashMap::new(),
+            marks: Marks::default(),
             groups: HashMap::new(),
             sessions: Names::default(),
             rpcs: HashMap::new(),
@@ -363,7 +362,7 @@
         let payload = need(line.payload, "Payload")?;
         let Some((zone, words)) = whisper::read(&payload, now - self.zero) else { return Ok(()) };
         for (mark, word, at, stretch, holds) in words {
-            if let Some(member) = self.marks.get(&mark).copied().flatten() {
+            if let Some(member) = self.marks.find(mark).map(MemberId) {
                 self.router.told(
                     now,
                     News { member, word, at: self.zero + at, near: zone == self.zone, stretch, holds },
@@ -389,9 +388,7 @@
         let mut entries = Vec::with_capacity(list.len());
         for entry in list {
             let member = MemberId(self.nodes.intern(&entry.node));
-            let mark = mark(&entry.node);
-            let known = self.marks.entry(mark).or_insert(Some(member));
-            *known = known.filter(|&other| other == member);
+            let mark = self.marks.insert(&entry.node, member.0);
             entries.push(Entry {
                 member,
                 mark,
@@ -434,9 +431,7 @@
             let words = news.iter().filter_map(|&news| {
                 let mark = mark(self.nodes.name(news.member.0));
                 self.marks
-                    .get(&mark)
-                    .copied()
-                    .flatten()
+                    .find(mark)
                     .map(|_| (mark, news.word, news.at - self.zero, news.stretch, news.holds))
             });
             let text = quoted(&whisper::write(self.zone, words));
--- a/crates/ladderpass-deployment/src/lib.rs
+++ b/crates/ladderpass-deployment/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod names;
 pub mod operator;
+pub mod whisper;
 
 use ladderpass_core::{Deployment, Effect, Level, Method, RoleInList, Span, Time};
 use serde::{Deserialize, Deserializer};
--- a/crates/ladderpass-deployment/src/names.rs
+++ b/crates/ladderpass-deployment/src/names.rs
@@ -57,6 +57,28 @@
     }
 }
 
+/// Names by their mark; none where two that are known have the same, so that news never is taken for another's.
+#[derive(Default)]
+pub struct Marks(HashMap<u32, Option<u32>>);
+
+impl Marks {
+    pub fn insert(&mut self, name: &str, index: u32) -> u32 {
+        let mark = mark(name);
+        let known = self.0.entry(mark).or_insert(Some(index));
+        *known = known.filter(|&other| other == index);
+        mark
+    }
+
+    pub fn find(&self, mark: u32) -> Option<u32> {
+        self.0.get(&mark).copied().flatten()
+    }
+
+    /// Nothing goes by this index any more; a mark that two had stays nobody's.
+    pub fn forget(&mut self, index: u32) {
+        self.0.retain(|_, known| *known != Some(index));
+    }
+}
+
 /// A number by which all routers know a name: the first bits of its FNV-1a hash.
 pub fn mark(name: &str) -> u32 {
     let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
--- a/crates/ladderpass-deployment/src/operator.rs
+++ b/crates/ladderpass-deployment/src/operator.rs
@@ -7,6 +7,7 @@
 use ladderpass_overload::{Band, Settings};
 use serde::Deserialize;
 use serde_saphyr::Spanned;
+use std::net::SocketAddr;
 
 /// What the file may hold. Without the file none of it acts.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -14,8 +15,23 @@
     pub log: Log,
     /// None: the router does not watch itself.
     pub overload: Option<Settings>,
+    /// None: routers tell each other nothing.
+    pub peers: Option<Peers>,
+    /// What the list says of zones and sizes is used: the zone of this router, and whether weights are sizes.
+    pub zone: Option<String>,
+    pub sizes: bool,
 }
 
+/// The routers that tell each other what members told them, by datagrams; each knows all by the same order.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Peers {
+    /// Which of `all` this one is.
+    pub me: usize,
+    pub all: Vec<SocketAddr>,
+}
+
+const PEERS_MOST: usize = 1000;
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Log {
     pub json: bool,
@@ -34,6 +50,22 @@
 struct Shape {
     log: Option<LogShape>,
     overload: Option<OverloadShape>,
+    peers: Option<PeersShape>,
+    members: Option<MembersShape>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct PeersShape {
+    me: Spanned<u32>,
+    all: Vec<Spanned<String>>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct MembersShape {
+    zone: Option<Spanned<String>>,
+    sizes: Option<bool>,
 }
 
 #[derive(Deserialize)]
@@ -96,9 +128,39 @@
         Some(overload) if overload.enabled != Some(false) => Some(settings(overload)?),
         _ => None,
     };
+    operator.peers = shape.peers.map(peers).transpose()?;
+    if let Some(members) = shape.members {
+        if let Some(zone) = members.zone.as_ref().filter(|zone| zone.value.trim().is_empty()) {
+            return Err(at(zone, "members.zone", "empty; allowed is the name of a zone of the list"));
+        }
+        operator.zone = members.zone.map(|zone| zone.value);
+        operator.sizes = members.sizes.unwrap_or(false);
+    }
     Ok(operator)
 }
 
+fn peers(shape: PeersShape) -> Result<Peers, String> {
+    let mut all = Vec::new();
+    for text in &shape.all {
+        let address = text.value.parse::<SocketAddr>().ok().filter(|address| address.port() > 0);
+        let fault = || at(text, "peers.all", &format!("{:?}; allowed is address:port", text.value));
+        let address = address.ok_or_else(fault)?;
+        if all.contains(&address) {
+            return Err(at(text, "peers.all", &format!("{address} stands twice; allowed is once")));
+        }
+        all.push(address);
+    }
+    if all.len() < 2 || all.len() > PEERS_MOST {
+        let text = format!("{}; allowed are 2 to {PEERS_MOST} addresses", all.len());
+        return Err(at(&shape.me, "peers.all", &text));
+    }
+    let me = shape.me.value as usize;
+    if me >= all.len() {
+        return Err(at(&shape.me, "peers.me", &format!("{me}; allowed are 0 to {}", all.len() - 1)));
+    }
+    Ok(Peers { me, all })
+}
+
 fn settings(shape: OverloadShape) -> Result<Settings, String> {
     let mut settings = Settings::default();
     if let Some(delay) = shape.delay {
@@ -223,6 +285,11 @@
         assert_eq!(operator.log, Log { json: true, figures: Span::from_millis(1000) });
         assert_eq!((settings.delay, settings.fair), (Band::new(0.002, 0.5), 8.0));
         assert_eq!(settings.slow_reader_bytes, 65536);
+        let text =
+            "peers: {me: 1, all: ['127.0.0.1:7400', '127.0.0.1:7401']}\nmembers: {zone: a, sizes: true}";
+        let operator = read(text).expect("all of it is allowed");
+        assert_eq!(operator.peers.as_ref().map(|peers| (peers.me, peers.all.len())), Some((1, 2)));
+        assert_eq!((operator.zone.as_deref(), operator.sizes), (Some("a"), true));
     }
 
     #[test]
@@ -240,6 +307,13 @@
             ("overload:\n  slow_reader_bytes: 12", ["line 2", "slow_reader_bytes", "unit"]),
             ("log:\n  format: xml", ["line 2", "log.format", "json"]),
             ("log: [", ["line", "", ""]),
+            ("peers:\n  me: 2\n  all: [127.0.0.1:1, 127.0.0.1:2]", ["line 2", "peers.me", "0 to 1"]),
+            ("peers:\n  me: 0\n  all: [127.0.0.1:1]", ["line 2", "peers.all", "2 to 1000"]),
+            ("peers:\n  me: 0\n  all: [127.0.0.1:1, here]", ["line 3", "peers.all", "address:port"]),
+            ("peers:\n  me: 0\n  all: [127.0.0.1:1, 127.0.0.1:1]", ["line 3", "peers.all", "once"]),
+            ("peers: {me: 0}", ["line 1", "all", "missing"]),
+            ("members:\n  zone: ''", ["line 2", "members.zone", "name of a zone"]),
+            ("members:\n  sizes: big", ["line 2", "sizes", "bool"]),
         ] {
             let fault = read(text).expect_err(text);
             assert!(wanted.iter().all(|part| fault.contains(part)), "{text:?}: {fault}");
--- a/crates/ladderpass/src/discovery.rs
+++ b/crates/ladderpass/src/discovery.rs
@@ -29,6 +29,10 @@
     pub started_at_ms: f64,
     #[serde(default)]
     pub role: Option<String>,
+    #[serde(default)]
+    pub zone: String,
+    #[serde(default)]
+    pub weight: Option<f64>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
--- a/crates/ladderpass/src/launch.rs
+++ b/crates/ladderpass/src/launch.rs
@@ -94,6 +94,12 @@
             let text = std::fs::read_to_string(path).map_err(|error| fault(error.to_string()))?;
             launch.operator = operator::read(&text).map_err(fault)?;
         }
+        // The platform's protocol has no messages between routers: they need addresses of the operator's.
+        let deployment = &mut launch.facts.deployment;
+        deployment.peers = launch.operator.peers.is_some();
+        if let Some(peers) = &launch.operator.peers {
+            (deployment.me, deployment.routers) = (peers.me as u32, peers.all.len() as u32);
+        }
         Ok(launch)
     }
 
@@ -130,6 +136,17 @@
         let log = self.operator.log;
         line("log.format", if log.json { "json" } else { "text" }.to_owned());
         line("log.figures", format!("{} ms", log.figures.nanos() / 1_000_000));
+        match &self.operator.peers {
+            Some(peers) => {
+                line("peers", format!("{} of {} at {}", peers.me, peers.all.len(), peers.all[peers.me]))
+            }
+            None => line("peers", "off: routers tell each other nothing".into()),
+        }
+        line(
+            "members.zone",
+            self.operator.zone.clone().unwrap_or("off: all members are equally near".into()),
+        );
+        line("members.sizes", if self.operator.sizes { "by the list's weight" } else { "off" }.into());
         let Some(own) = self.operator.overload else {
             line("overload", "off: the router does not watch itself".into());
             return text;
--- a/crates/ladderpass/src/reducer.rs
+++ b/crates/ladderpass/src/reducer.rs
@@ -12,11 +12,11 @@
 use crate::limits::Limits;
 use crate::pg;
 use ladderpass_core::{
-    Arrival, Decision, Ended, Entry, Level, ListNews, MemberId, Method, Outcome, Report, Role, Router, Rpc,
-    Span, Standing, Time,
+    Arrival, Decision, Ended, Entry, Level, ListNews, MemberId, Method, News, Outcome, Report, Role, Router,
+    Rpc, Span, Standing, Time,
 };
-use ladderpass_deployment::names::{Names, group_index};
-use ladderpass_deployment::{HOLDS, POSITION, PRIMARY};
+use ladderpass_deployment::names::{Marks, Names, group_index, mark};
+use ladderpass_deployment::{HOLDS, POSITION, PRIMARY, whisper};
 use ladderpass_overload::{Sample, Spent};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -62,6 +62,8 @@
     Deaf,
     /// The process did not run for so long: what is read in this batch may have waited since.
     StoodStill(Span),
+    /// A datagram of another router.
+    Whispered(Vec<u8>),
     /// What the router is told was read anew.
     Told(Box<Launch>),
     Terminate,
@@ -78,6 +80,8 @@
     Read(ConnId),
     Close(ConnId),
     Accept(bool),
+    /// There is something in `whispers` for all other routers.
+    Whisper,
     /// Take what waits at the listener, close it, and say `Deaf`.
     StopListening,
     Exit,
@@ -163,6 +167,15 @@
     members: Vec<Member>,
     names: Names,
     kinds: Names,
+    /// Zones of the list, where they are used; its own has the index zero, and a letter in messages.
+    zones: Names,
+    zoned: bool,
+    zone_letter: u32,
+    /// Weights of the list are sizes.
+    sizes: bool,
+    marks: Marks,
+    /// Messages that wait to be sent to all other routers.
+    whispers: Vec<String>,
     groups: HashMap<u64, u32>,
     generation: u64,
     watch: Option<ConnId>,
@@ -207,6 +220,8 @@
     pub fn start(now: Time, launch: Launch) -> Reducer {
         let facts = launch.facts;
         let own = Own::new(now, &launch.operator, launch.allowance, facts.deployment.methods.len());
+        let mut zones = Names::default();
+        zones.intern(launch.operator.zone.as_deref().unwrap_or_default());
         let is_bounded = |method: &Method| matches!(method.level, Level::Bounded(_));
         let mut reducer = Reducer {
             bounded: facts.deployment.methods.iter().map(is_bounded).collect(),
@@ -226,6 +241,12 @@
             members: Vec::new(),
             names: Names::default(),
             kinds: Names::default(),
+            zoned: launch.operator.zone.is_some(),
+            zone_letter: mark(launch.operator.zone.as_deref().unwrap_or_default()) & 63,
+            sizes: launch.operator.sizes,
+            zones,
+            marks: Marks::default(),
+            whispers: Vec::new(),
             groups: HashMap::new(),
             generation: 0,
             watch: None,
@@ -357,6 +378,7 @@
                 tracing::warn!("stood still for {:.0} ms", span.secs() * 1e3);
                 self.behind = span;
             }
+            Event::Whispered(text) => self.whispered(now, &text),
             Event::Told(launch) => self.told(now, *launch),
             Event::Terminate => self.terminate(now),
             Event::Turn => {
@@ -398,6 +420,9 @@
         for member in upkeep.probes {
             self.probe(now, member);
         }
+        for news in upkeep.tell.chunks(whisper::MOST) {
+            self.whisper(news);
+        }
         if upkeep.ask_list {
             self.ask_list(now);
         }
@@ -413,6 +438,33 @@
         }
     }
 
+    /// Messages for all other routers; they are taken as they are sent.
+    pub fn whispers(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.whispers)
+    }
+
+    fn whisper(&mut self, news: &[News]) {
+        let words = news.iter().filter_map(|news| {
+            let mark = mark(self.names.name(news.member.0));
+            let told = (mark, news.word, news.at - Time::default(), news.stretch, news.holds);
+            self.marks.find(mark).map(|_| told)
+        });
+        self.whispers.push(whisper::write(self.zone_letter, words));
+        self.effects.push(Effect::Whisper);
+    }
+
+    /// What can't be read, or names no member of this one's list, is dropped.
+    fn whispered(&mut self, now: Time, text: &[u8]) {
+        let Ok(text) = std::str::from_utf8(text) else { return };
+        let Some((zone, words)) = whisper::read(text, now - Time::default()) else { return };
+        for (mark, word, at, stretch, holds) in words {
+            if let Some(member) = self.marks.find(mark).map(MemberId) {
+                let (at, near) = (Time::default() + at, zone == self.zone_letter);
+                self.router.told(now, News { member, word, at, near, stretch, holds });
+            }
+        }
+    }
+
     fn tell_tally(&mut self, now: Time) {
         let (answers, answer_time) = self.answers();
         let tally = std::mem::replace(&mut self.tally, Tally { told_at: now, ..Tally::default() });
--- a/crates/ladderpass/src/reducer/watch.rs
+++ b/crates/ladderpass/src/reducer/watch.rs
@@ -129,9 +129,9 @@
                 },
                 born: instance.born().filter(|_| !self.faulty.is(Faulty::IgnoresWarmUp)),
                 kind: self.kinds.intern(&instance.machine_type),
-                size: None,
-                zone: 0,
-                mark: index,
+                size: instance.weight.filter(|&weight| self.sizes && weight > 0.0),
+                zone: if self.zoned { self.zones.intern(&instance.zone) } else { 0 },
+                mark: self.marks.insert(&instance.instance_id, index),
             });
         }
         self.generation = listing.generation;
--- a/crates/ladderpass/src/sockets.rs
+++ b/crates/ladderpass/src/sockets.rs
@@ -18,7 +18,7 @@
 use std::collections::VecDeque;
 use std::fs::File;
 use std::io::{self, ErrorKind, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::unix::fs::FileExt;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -64,6 +64,8 @@
     reads: usize,
     unfinished: Vec<ConnId>,
     wires: Wires,
+    /// The other routers, and the socket that they send to.
+    peers: Option<(Rc<UdpSocket>, Vec<SocketAddr>)>,
     /// What the sockets told and has not been looked at yet: members' answers stand before clients' statements.
     told: VecDeque<ConnId>,
     /// Events looked at before the reducer has its turn.
@@ -99,6 +101,8 @@
             }
         })
         .map_err(|fault| format!("signals: {fault}"))?;
+    let peers = launch.operator.peers.clone();
+    let peers = peers.map(|peers| meet(&handle, peers.me, peers.all)).transpose()?;
     let clock = Clock::new();
     let reducer = Reducer::start(clock.now(), launch);
     let listener = listen(address, backlog).map_err(|fault| format!("RELAY_LISTEN: {address}: {fault}"))?;
@@ -130,6 +134,7 @@
         reads,
         unfinished: Vec::new(),
         wires,
+        peers,
         told: VecDeque::new(),
         budget,
         effects: Vec::new(),
@@ -165,6 +170,28 @@
     Ok(())
 }
 
+/// Opens the socket of the messages between routers; gives it and all the others.
+fn meet(
+    handle: &LoopHandle<'static, Front>,
+    me: usize,
+    all: Vec<SocketAddr>,
+) -> Result<(Rc<UdpSocket>, Vec<SocketAddr>), String> {
+    let own = all[me];
+    let open = || -> io::Result<UdpSocket> {
+        let socket = UdpSocket::bind(own)?;
+        socket.set_nonblocking(true)?;
+        Ok(socket)
+    };
+    let socket = Rc::new(open().map_err(|fault| format!("peers.all: {own}: {fault}"))?);
+    let source = Generic::new(socket.clone(), Interest::READ, Mode::Level);
+    let done = handle.insert_source(source, |_, _, front: &mut Front| {
+        front.hear_peers();
+        Ok(PostAction::Continue)
+    });
+    done.map_err(|fault| format!("peers: {fault}"))?;
+    Ok((socket, all.into_iter().filter(|&other| other != own).collect()))
+}
+
 fn listen(address: SocketAddr, backlog: i32) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
@@ -251,6 +278,7 @@
                     Effect::Read(id) => self.read(id, true),
                     Effect::Close(id) => self.close(id),
                     Effect::Accept(wanted) => self.listen(wanted),
+                    Effect::Whisper => self.whisper(),
                     Effect::StopListening => self.stop_listening(),
                     Effect::Exit => self.over = true,
                 }
@@ -258,6 +286,31 @@
         }
     }
 
+    /// Guards against a flood, and against strangers: so many datagrams a turn, and only the other routers' count.
+    fn hear_peers(&mut self) {
+        let Some((socket, others)) = self.peers.clone() else { return };
+        let mut room = [0; 512];
+        for _ in 0..self.budget {
+            let Ok((count, from)) = socket.recv_from(&mut room) else { return };
+            if others.contains(&from) {
+                self.apply(Event::Whispered(room[..count].to_vec()));
+            }
+        }
+    }
+
+    /// One that can't be sent is lost, as on any way.
+    fn whisper(&mut self) {
+        let whispers = self.reducer.whispers();
+        let Some((socket, others)) = &self.peers else { return };
+        for text in whispers {
+            for other in others {
+                if let Err(fault) = socket.send_to(text.as_bytes(), other) {
+                    tracing::debug!("message to {other}: {fault}");
+                }
+            }
+        }
+    }
+
     fn listen(&mut self, wanted: bool) {
         self.listening = wanted;
         self.enable_listener(wanted && !self.short);
