--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -458,7 +458,7 @@
         let crowd = member.crowd().unwrap_or_else(|| self.stretch(now, member, 4));
         let step = if crowd > CROWD { (CROWD / crowd).max(PART_CUT) } else { PART_GROWTH };
         let member = self.fleet.member_mut(index);
-        let since = (now - member.part_at).secs().min(1.0);
+        let since = if self.deployment.peers { (now - member.part_at).secs().min(1.0) } else { 0.0 };
         (member.part, member.part_at) = ((member.part * step.powf(since)).clamp(PART_LEAST, 1.0), now);
     }
 
--- a/crates/ladderpass-core/tests/peers.rs
+++ b/crates/ladderpass-core/tests/peers.rs
@@ -167,3 +167,18 @@
     let later = limits(&mut router, 1100);
     assert!(later.iter().all(|&(member, limit)| (member > 1) == limit.is_some()), "{later:?}");
 }
+
+/// A router by itself learns by its own few probes alone: a part taken in a jam would stay for a quarter of a minute.
+#[test]
+fn a_router_that_hears_no_other_takes_no_part_of_the_reads() {
+    let mut router = started(|told| told.peers = false);
+    for ms in (0..3000).step_by(100) {
+        let report = Report { position: Some(at(ms)), primary: Some(false), holds: Some(50.0) };
+        (1..3).for_each(|m| router.probed(at(ms), MemberId(m), Ended::Ok, Span::ZERO, report));
+    }
+    for ms in (3000..3700).step_by(20) {
+        let (rpc, decision) = router.take(at(ms), arrival(0, ms));
+        let Some(member) = sent_to(decision) else { panic!("{decision:?} at {ms}") };
+        rpc.ended(&mut router, at(ms + 5), outcome(member, Ended::Ok, 5));
+    }
+}
