One piece for what both fronts did to messages; what the move computed for nothing is out

Both fronts packed, named and read messages by loops of their own (whisper in wire.rs and reducer.rs): whisper::Circle serves both. reach_way and reach_pace were one loop twice. probe_span counted the list's members for each word heard where the shared round needs no count; regulate ran, without effect, in routers that hear no other (a power of zero): it is called only where they do. tell_every was derived state. An error added a zero to a member's failures, whose sum stood in for their count: it adds nothing now, and the count counts.

--- a/crates/ladderpass-benchlink/src/wire.rs
+++ b/crates/ladderpass-benchlink/src/wire.rs
@@ -2,11 +2,11 @@
 
 use crate::lines::{Line, ListLine};
 use ladderpass_core::{
-    Arrival, Decision, Ended, Entry, ListNews, MemberId, News, Outcome, Report, Role, Router, Rpc, Span,
-    Standing, Time,
+    Arrival, Decision, Ended, Entry, ListNews, MemberId, Outcome, Report, Role, Router, Rpc, Span, Standing,
+    Time,
 };
-use ladderpass_deployment::names::{Marks, Names, group_index, mark};
-use ladderpass_deployment::{self as settings, whisper};
+use ladderpass_deployment::names::{Names, group_index};
+use ladderpass_deployment::{self as settings, whisper::Circle};
 use serde_json::Value;
 use std::collections::HashMap;
 use std::fmt::Write;
@@ -41,9 +41,7 @@
     zones: Names,
     /// Sizes in the list are the registered ones.
     sized: bool,
-    /// The letter of its own zone.
-    zone: u32,
-    marks: Marks,
+    circle: Circle,
     groups: HashMap<u64, u32>,
     sessions: Names,
     /// Not yet concluded, or with a call-out still out.
@@ -217,8 +215,7 @@
             kinds: Names::default(),
             zones,
             sized: facts.sized,
-            zone: mark(facts.zone.as_deref().unwrap_or_default()) & 63,
-            marks: Marks::default(),
+            circle: Circle::new(facts.zero, facts.zone.as_deref().unwrap_or_default()),
             groups: HashMap::new(),
             sessions: Names::default(),
             rpcs: HashMap::new(),
@@ -359,15 +356,8 @@
 
     /// What another instance was told; what can't be read, or names no node of this one's lists, is dropped.
     fn whisper(&mut self, now: Time, line: Line) -> Result<(), Fault> {
-        let payload = need(line.payload, "Payload")?;
-        let Some((zone, words)) = whisper::read(&payload, now - self.zero) else { return Ok(()) };
-        for (mark, word, at, stretch, holds) in words {
-            if let Some(member) = self.marks.find(mark).map(MemberId) {
-                self.router.told(
-                    now,
-                    News { member, word, at: self.zero + at, near: zone == self.zone, stretch, holds },
-                );
-            }
+        for news in self.circle.hear(&need(line.payload, "Payload")?, now) {
+            self.router.told(now, news);
         }
         Ok(())
     }
@@ -388,7 +378,7 @@
         let mut entries = Vec::with_capacity(list.len());
         for entry in list {
             let member = MemberId(self.nodes.intern(&entry.node));
-            let mark = self.marks.insert(&entry.node, member.0);
+            let mark = self.circle.marks.insert(&entry.node, member.0);
             entries.push(Entry {
                 member,
                 mark,
@@ -427,14 +417,8 @@
             let node = quoted(self.nodes.name(member.0));
             let _ = writeln!(out, r#"{{"kind":"TOUCH","Who":{who},"Node":{node}}}"#);
         }
-        for news in upkeep.tell.chunks(whisper::MOST) {
-            let words = news.iter().filter_map(|&news| {
-                let mark = mark(self.nodes.name(news.member.0));
-                self.marks
-                    .find(mark)
-                    .map(|_| (mark, news.word, news.at - self.zero, news.stretch, news.holds))
-            });
-            let text = quoted(&whisper::write(self.zone, words));
+        for text in self.circle.tell(&upkeep.tell, &self.nodes) {
+            let text = quoted(&text);
             let _ = writeln!(out, r#"{{"kind":"PUBLISH","Who":{who},"Dest":-1,"Payload":{text}}}"#);
         }
         if upkeep.ask_list {
--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -121,7 +121,6 @@
     /// What the next `tend` says.
     upkeep: Upkeep,
     least_bound: Span,
-    tell_every: Span,
 }
 
 impl Router {
@@ -130,7 +129,6 @@
         let bounds = deployment.methods.iter().filter_map(|method| method.level.bound());
         let least_bound = bounds.min().unwrap_or(ANY_BOUND);
         Router {
-            tell_every: least_bound * TELL_PART,
             least_bound,
             taken: Ring::new(MEASURE),
             probes_at: now,
@@ -293,8 +291,8 @@
 
     /// What another router is told soon reaches this one: those that want news of a member ask it by turns.
     fn told_soon(&self, index: usize) -> Time {
-        let part = 1.0 + TELL_SPREAD * self.turn(index) / f64::from(self.deployment.routers.max(1));
-        let wait = if self.deployment.peers { TELL_LEADERLESS * part } else { Span::ZERO };
+        let part = || 1.0 + TELL_SPREAD * self.turn(index) / f64::from(self.deployment.routers.max(1));
+        let wait = if self.deployment.peers { TELL_LEADERLESS * part() } else { Span::ZERO };
         self.fleet.member(index).told_at + wait
     }
 
@@ -427,7 +425,7 @@
     fn load(&self, now: Time, member: &Member) -> f64 {
         let silent = if member.out.is_empty() { Span::ZERO } else { now - member.silent_from };
         let silence = (silent.secs() / self.least_usual().secs().max(1e-4) - SILENCE).max(0.0).floor();
-        self.in_flight(now, member) + member.failures.last(now, 4).1 * FAILURE_LOAD + silence
+        self.in_flight(now, member) + member.failures.last(now, 4).0 * FAILURE_LOAD + silence
     }
 
     /// Far past its time, though one sent later was answered: lost on the way, says nothing of a jam.
@@ -458,7 +456,7 @@
         let crowd = member.crowd().unwrap_or_else(|| self.stretch(now, member, 4));
         let step = if crowd > CROWD { (CROWD / crowd).max(PART_CUT) } else { PART_GROWTH };
         let member = self.fleet.member_mut(index);
-        let since = if self.deployment.peers { (now - member.part_at).secs().min(1.0) } else { 0.0 };
+        let since = (now - member.part_at).secs().min(1.0);
         (member.part, member.part_at) = ((member.part * step.powf(since)).clamp(PART_LEAST, 1.0), now);
     }
 
@@ -533,7 +531,7 @@
             let mut member = Member::new(entry.member, entry.group as usize, limit, MEASURE, sent);
             member.mark = entry.mark;
             self.fleet.add(member);
-            let first = (self.probe_span(now, index) - self.tell_every).max(Span::ZERO);
+            let first = (self.probe_span(now, index) - self.least_bound * TELL_PART).max(Span::ZERO);
             let member = self.fleet.member_mut(index);
             member.probe_at = now + first;
             self.probes_at = self.probes_at.min(member.probe_at);
@@ -599,7 +597,9 @@
         if let Some(position) = report.position {
             let age = now - position;
             self.fleet.member_mut(index).reported(age, report.holds);
-            self.regulate(now, index);
+            if self.deployment.peers {
+                self.regulate(now, index);
+            }
             // Reports may be late: the primary's, which stands at the present, shows by how much.
             let primary = self.fleet.groups[group].primary;
             let late = primary.map(|p| self.fleet.member(p).report_age.unwrap_or(Span::ZERO));
@@ -652,13 +652,13 @@
 
     /// Tells the other routers what this one was told by the member itself, unless they know it already.
     fn share(&mut self, now: Time, index: usize, word: Word, at: Time, stretch: f64) {
-        let holds = self.fleet.member(index).holds;
         let led = self.fleet.groups[self.fleet.member(index).group].primary.is_some();
-        let step = if led { self.tell_every } else { self.tell_every.min(TELL_LEADERLESS) };
+        let step = self.least_bound * TELL_PART;
+        let step = if led { step } else { step.min(TELL_LEADERLESS) };
         let member = self.fleet.member_mut(index);
         if self.deployment.peers && now - member.shared_at >= step {
             (member.shared, member.shared_at) = (member.shared.max(at), now);
-            self.upkeep.tell.push(News { member: member.id, word, at, near: true, stretch, holds });
+            self.upkeep.tell.push(News { stretch, holds: member.holds, ..News::of(member.id, word, at) });
         }
     }
 
@@ -697,7 +697,7 @@
         }
         if self.deployment.peers && !heard && now - member.lost_at >= LONG_GONE {
             member.lost_at = now;
-            self.upkeep.tell.push(News::lost(member.id, now));
+            self.upkeep.tell.push(News::of(member.id, Word::Lost, now));
         }
         if self.fleet.member(index).misses == MISSES_TO_DROP {
             self.upkeep.notes.push(format!("#{index} is left out: {MISSES_TO_DROP} misses in a row"));
@@ -821,11 +821,10 @@
 
     /// Routers that tell each other share one round, by turns; a turn that is missed falls to the next.
     fn probe_span(&mut self, now: Time, index: usize) -> Span {
-        let own = self.probe_every(now);
         if !self.deployment.shares_probes() {
-            return own * (0.75 + 0.5 * self.chance.generate::<f64>());
+            return self.probe_every(now) * (0.75 + 0.5 * self.chance.generate::<f64>());
         }
-        (PROBE_EVERY.max(self.tell_every) + SHARED_TURN * self.turn(index)).min(PROBE_SLOWEST)
+        (PROBE_EVERY.max(self.least_bound * TELL_PART) + SHARED_TURN * self.turn(index)).min(PROBE_SLOWEST)
     }
 
     fn tend_probes(&mut self, now: Time) {
@@ -850,7 +849,6 @@
                 member.probe_goes(now, every);
                 self.upkeep.probes.push(member.id);
             }
-            let member = self.fleet.member(index);
             let next = member.probe_sent.map_or(member.probe_at, |sent| sent + PROBE_LOST);
             self.probes_at = self.probes_at.min(next);
         }
@@ -872,8 +870,9 @@
                 self.answered(now, index);
                 self.fleet.groups[group].heard = true;
             }
-            Ended::Failed | Ended::Overloaded | Ended::Broken | Ended::TimedOut => {
-                member.failures.add(now, if outcome.ended == Ended::Failed { 0.0 } else { 1.0 });
+            Ended::Failed if outcome.role.is_some() => self.answered(now, index),
+            Ended::Overloaded | Ended::Broken | Ended::TimedOut => {
+                member.failures.add(now, 1.0);
                 let limit = member.limit * LIMIT_CUT;
                 if matches!(outcome.ended, Ended::Overloaded | Ended::TimedOut) && !lost {
                     self.cut(now, index, sent, limit);
@@ -886,7 +885,7 @@
                 member.failures.add(now, 1.0);
                 self.missed(now, index, false);
             }
-            Ended::Withdrawn | Ended::Void => {}
+            Ended::Failed | Ended::Withdrawn | Ended::Void => {}
         }
         let mut stretch = 0.0;
         if matches!(outcome.ended, Ended::Ok | Ended::TimedOut) && !lost {
--- a/crates/ladderpass-core/src/interface.rs
+++ b/crates/ladderpass-core/src/interface.rs
@@ -247,8 +247,8 @@
 }
 
 impl News {
-    pub fn lost(member: MemberId, at: Time) -> News {
-        News { member, word: Word::Lost, at, near: true, stretch: 0.0, holds: None }
+    pub fn of(member: MemberId, word: Word, at: Time) -> News {
+        News { member, word, at, near: true, stretch: 0.0, holds: None }
     }
 }
 
--- a/crates/ladderpass-core/src/state.rs
+++ b/crates/ladderpass-core/src/state.rs
@@ -86,17 +86,20 @@
     pub ways: Vec<Ring<8>>,
 }
 
+/// The ring of this index, with those before it.
+fn reach(rings: &mut Vec<Ring<8>>, index: u32, bucket: Span) -> &mut Ring<8> {
+    let index = index as usize;
+    rings.resize_with(rings.len().max(index + 1), || Ring::new(bucket));
+    &mut rings[index]
+}
+
 impl Fleet {
     pub fn reach_way(&mut self, zone: u32, bucket: Span) -> &mut Ring<8> {
-        let zone = zone as usize;
-        self.ways.resize_with(self.ways.len().max(zone + 1), || Ring::new(bucket));
-        &mut self.ways[zone]
+        reach(&mut self.ways, zone, bucket)
     }
 
     pub fn reach_pace(&mut self, kind: u32, bucket: Span) -> &mut Ring<8> {
-        let kind = kind as usize;
-        self.paces.resize_with(self.paces.len().max(kind + 1), || Ring::new(bucket));
-        &mut self.paces[kind]
+        reach(&mut self.paces, kind, bucket)
     }
 
     pub fn reach_group(&mut self, group: u32) -> &mut Group {
--- a/crates/ladderpass-deployment/src/whisper.rs
+++ b/crates/ladderpass-deployment/src/whisper.rs
@@ -3,7 +3,8 @@
 //! It owns the form alone. It must never decide what is told, nor what a word is worth. A reader drops what it can't
 //! read, so that instances of another version do no harm.
 
-use ladderpass_core::{Span, Word};
+use crate::names::{Marks, Names, mark};
+use ladderpass_core::{MemberId, News, Span, Time, Word};
 
 /// Most words in one message of 256 bytes.
 pub const MOST: usize = 25;
@@ -19,6 +20,38 @@
 /// Times go in milliseconds, of which these bits are told: they come round after more than an hour.
 const TIME_BITS: u32 = 22;
 
+/// What a front needs for messages: where times count from, the letter of its zone, and members by their marks.
+pub struct Circle {
+    zero: Time,
+    zone: u32,
+    pub marks: Marks,
+}
+
+impl Circle {
+    pub fn new(zero: Time, zone: &str) -> Circle {
+        Circle { zero, zone: mark(zone) & 63, marks: Marks::default() }
+    }
+
+    /// The messages that tell these news, of members by these names.
+    pub fn tell(&self, news: &[News], names: &Names) -> Vec<String> {
+        let told = |news: &News| {
+            let mark = mark(names.name(news.member.0));
+            self.marks.find(mark).map(|_| (mark, news.word, news.at - self.zero, news.stretch, news.holds))
+        };
+        news.chunks(MOST).map(|news| write(self.zone, news.iter().filter_map(told))).collect()
+    }
+
+    /// What a message tells. What can't be read, or names no known member, is dropped.
+    pub fn hear(&self, text: &str, now: Time) -> Vec<News> {
+        let Some((zone, words)) = read(text, now - self.zero) else { return Vec::new() };
+        let news = |(mark, word, at, stretch, holds)| {
+            let member = MemberId(self.marks.find(mark)?);
+            Some(News { member, word, at: self.zero + at, near: zone == self.zone, stretch, holds })
+        };
+        words.filter_map(news).collect()
+    }
+}
+
 /// A node's mark, what is said of it, a time from the common zero, its stretch, or what it holds.
 pub type Told = (u32, Word, Span, f64, Option<f64>);
 const WORDS: [Word; 3] = [Word::Replica, Word::Primary, Word::Lost];
--- a/crates/ladderpass/src/reducer.rs
+++ b/crates/ladderpass/src/reducer.rs
@@ -12,11 +12,11 @@
 use crate::limits::Limits;
 use crate::pg;
 use ladderpass_core::{
-    Arrival, Decision, Ended, Entry, Level, ListNews, MemberId, Method, News, Outcome, Report, Role, Router,
-    Rpc, Span, Standing, Time,
+    Arrival, Decision, Ended, Entry, Level, ListNews, MemberId, Method, Outcome, Report, Role, Router, Rpc,
+    Span, Standing, Time,
 };
-use ladderpass_deployment::names::{Marks, Names, group_index, mark};
-use ladderpass_deployment::{HOLDS, POSITION, PRIMARY, whisper};
+use ladderpass_deployment::names::{Names, group_index};
+use ladderpass_deployment::{HOLDS, POSITION, PRIMARY, whisper::Circle};
 use ladderpass_overload::{Sample, Spent};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -167,13 +167,12 @@
     members: Vec<Member>,
     names: Names,
     kinds: Names,
-    /// Zones of the list, where they are used; its own has the index zero, and a letter in messages.
+    /// Zones of the list, where they are used; its own has the index zero.
     zones: Names,
     zoned: bool,
-    zone_letter: u32,
     /// Weights of the list are sizes.
     sizes: bool,
-    marks: Marks,
+    circle: Circle,
     /// Messages that wait to be sent to all other routers.
     whispers: Vec<String>,
     groups: HashMap<u64, u32>,
@@ -242,10 +241,9 @@
             names: Names::default(),
             kinds: Names::default(),
             zoned: launch.operator.zone.is_some(),
-            zone_letter: mark(launch.operator.zone.as_deref().unwrap_or_default()) & 63,
             sizes: launch.operator.sizes,
             zones,
-            marks: Marks::default(),
+            circle: Circle::new(Time::default(), launch.operator.zone.as_deref().unwrap_or_default()),
             whispers: Vec::new(),
             groups: HashMap::new(),
             generation: 0,
@@ -420,8 +418,9 @@
         for member in upkeep.probes {
             self.probe(now, member);
         }
-        for news in upkeep.tell.chunks(whisper::MOST) {
-            self.whisper(news);
+        if !upkeep.tell.is_empty() {
+            self.whispers.extend(self.circle.tell(&upkeep.tell, &self.names));
+            self.effects.push(Effect::Whisper);
         }
         if upkeep.ask_list {
             self.ask_list(now);
@@ -443,25 +442,10 @@
         std::mem::take(&mut self.whispers)
     }
 
-    fn whisper(&mut self, news: &[News]) {
-        let words = news.iter().filter_map(|news| {
-            let mark = mark(self.names.name(news.member.0));
-            let told = (mark, news.word, news.at - Time::default(), news.stretch, news.holds);
-            self.marks.find(mark).map(|_| told)
-        });
-        self.whispers.push(whisper::write(self.zone_letter, words));
-        self.effects.push(Effect::Whisper);
-    }
-
-    /// What can't be read, or names no member of this one's list, is dropped.
     fn whispered(&mut self, now: Time, text: &[u8]) {
         let Ok(text) = std::str::from_utf8(text) else { return };
-        let Some((zone, words)) = whisper::read(text, now - Time::default()) else { return };
-        for (mark, word, at, stretch, holds) in words {
-            if let Some(member) = self.marks.find(mark).map(MemberId) {
-                let (at, near) = (Time::default() + at, zone == self.zone_letter);
-                self.router.told(now, News { member, word, at, near, stretch, holds });
-            }
+        for news in self.circle.hear(text, now) {
+            self.router.told(now, news);
         }
     }
 
--- a/crates/ladderpass/src/reducer/watch.rs
+++ b/crates/ladderpass/src/reducer/watch.rs
@@ -131,7 +131,7 @@
                 kind: self.kinds.intern(&instance.machine_type),
                 size: instance.weight.filter(|&weight| self.sizes && weight > 0.0),
                 zone: if self.zoned { self.zones.intern(&instance.zone) } else { 0 },
-                mark: self.marks.insert(&instance.instance_id, index),
+                mark: self.circle.marks.insert(&instance.instance_id, index),
             });
         }
         self.generation = listing.generation;
