--- /dev/null
+++ b/crates/ladderpass-membership/src/message.rs
@@ -0,0 +1,213 @@
+//! The form of a datagram: a mark that no earlier program reads as a word, what it is, whose, and words on routers.
+//!
+//! It owns the form alone. A reader drops what it can't read as a whole. It must never decide what is told.
+
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
+
+/// The first byte of each datagram: no letter of the words that earlier programs exchange, which drop it unread.
+pub const FIRST: u8 = b'!';
+const VERSION: u8 = 1;
+
+/// A router's life and its words on itself: milliseconds of its start, and how often it has contradicted since. A
+/// later life counts for more than any word on an earlier one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Incarnation(pub u64);
+
+const WORDS: u32 = 16;
+
+impl Incarnation {
+    pub fn of_start(unix_ms: i64) -> Incarnation {
+        Incarnation((unix_ms.max(0) as u64) << WORDS)
+    }
+
+    /// The next word on itself. After the last of a life it is as if it had started a millisecond later.
+    pub fn next(self) -> Incarnation {
+        Incarnation(self.0.saturating_add(1))
+    }
+
+    /// A life after this one: for a router whose clock has gone back.
+    pub fn next_life(self) -> Incarnation {
+        Incarnation((self.0 >> WORDS).saturating_add(1).min(u64::MAX >> WORDS) << WORDS)
+    }
+
+    pub fn life(self) -> u64 {
+        self.0 >> WORDS
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum State {
+    Alive,
+    Suspect,
+    Dead,
+    /// It said so itself.
+    Left,
+}
+
+const STATES: [State; 4] = [State::Alive, State::Suspect, State::Dead, State::Left];
+
+impl State {
+    pub fn is_gone(self) -> bool {
+        self >= State::Dead
+    }
+}
+
+/// A word on a router.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Word {
+    pub who: SocketAddr,
+    pub state: State,
+    pub incarnation: Incarnation,
+    /// Of a suspicion: a mark of the router that had it first.
+    pub accuser: u16,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Ask,
+    Answer,
+    /// Ask the router of the first word for me.
+    AskFor,
+    /// The router of the first word has answered.
+    AnswerFor,
+    /// It has not answered me in time; but I am there.
+    Nothing,
+    /// Words alone.
+    Tell,
+}
+
+const KINDS: [Kind; 6] = [Kind::Ask, Kind::Answer, Kind::AskFor, Kind::AnswerFor, Kind::Nothing, Kind::Tell];
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Message {
+    pub kind: Kind,
+    /// Of an ask; its answer has the same.
+    pub number: u32,
+    /// What the sender's view comes to.
+    pub digest: u32,
+    pub own: Word,
+    pub words: Vec<Word>,
+}
+
+const HEAD: usize = 1 + 1 + 1 + 4 + 4;
+const V6: u8 = 1 << 2;
+
+pub fn length_of(word: &Word) -> usize {
+    let address = if word.who.is_ipv4() { 6 } else { 18 };
+    1 + address + 8 + if word.state == State::Suspect { 2 } else { 0 }
+}
+
+impl Message {
+    /// Bytes that it takes so far.
+    pub fn length(&self) -> usize {
+        HEAD + length_of(&self.own) + self.words.iter().map(length_of).sum::<usize>()
+    }
+
+    pub fn write(&self) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(self.length());
+        let kind = KINDS.iter().position(|&kind| kind == self.kind).unwrap_or_default() as u8;
+        bytes.extend([FIRST, VERSION, kind]);
+        bytes.extend(self.number.to_be_bytes());
+        bytes.extend(self.digest.to_be_bytes());
+        for word in [&self.own].into_iter().chain(&self.words) {
+            let state = STATES.iter().position(|&state| state == word.state).unwrap_or_default() as u8;
+            let v6 = if word.who.is_ipv6() { V6 } else { 0 };
+            bytes.push(state | v6);
+            match word.who.ip() {
+                IpAddr::V4(ip) => bytes.extend(ip.octets()),
+                IpAddr::V6(ip) => bytes.extend(ip.octets()),
+            }
+            bytes.extend(word.who.port().to_be_bytes());
+            bytes.extend(word.incarnation.0.to_be_bytes());
+            if word.state == State::Suspect {
+                bytes.extend(word.accuser.to_be_bytes());
+            }
+        }
+        bytes
+    }
+
+    /// None where any of it can't be read.
+    pub fn read(bytes: &[u8]) -> Option<Message> {
+        let mut rest = bytes;
+        let [first, version, kind] = take::<3>(&mut rest)?;
+        if first != FIRST || version != VERSION {
+            return None;
+        }
+        let kind = *KINDS.get(usize::from(kind))?;
+        let number = u32::from_be_bytes(take(&mut rest)?);
+        let digest = u32::from_be_bytes(take(&mut rest)?);
+        let own = word(&mut rest)?;
+        let mut words = Vec::new();
+        while !rest.is_empty() {
+            words.push(word(&mut rest)?);
+        }
+        Some(Message { kind, number, digest, own, words })
+    }
+}
+
+fn take<const N: usize>(rest: &mut &[u8]) -> Option<[u8; N]> {
+    let (head, tail) = rest.split_first_chunk::<N>()?;
+    *rest = tail;
+    Some(*head)
+}
+
+fn word(rest: &mut &[u8]) -> Option<Word> {
+    let [flags] = take::<1>(rest)?;
+    if flags & !(V6 | 3) != 0 {
+        return None;
+    }
+    let state = *STATES.get(usize::from(flags & 3))?;
+    let ip = match flags & V6 {
+        0 => IpAddr::V4(Ipv4Addr::from(take::<4>(rest)?)),
+        _ => IpAddr::V6(Ipv6Addr::from(take::<16>(rest)?)),
+    };
+    let who = SocketAddr::new(ip, u16::from_be_bytes(take(rest)?));
+    let incarnation = Incarnation(u64::from_be_bytes(take(rest)?));
+    let accuser = if state == State::Suspect { u16::from_be_bytes(take(rest)?) } else { 0 };
+    Some(Word { who, state, incarnation, accuser })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn message() -> Message {
+        let word = |text: &str, state, accuser| Word {
+            who: text.parse().expect("an address"),
+            state,
+            incarnation: Incarnation::of_start(1_800_000_000_123).next(),
+            accuser,
+        };
+        let words = vec![word("[fd00::7]:99", State::Suspect, 700), word("10.1.2.3:65535", State::Left, 0)];
+        let own = word("127.0.0.9:7400", State::Alive, 0);
+        Message { kind: Kind::AskFor, number: 77, digest: 0xdead_beef, own, words }
+    }
+
+    #[test]
+    fn it_comes_back_as_it_was_written_and_cut_or_changed_it_is_dropped_or_another_whole_one() {
+        let bytes = message().write();
+        assert_eq!(bytes.len(), message().length());
+        assert_eq!(Message::read(&bytes), Some(message()));
+        for length in 0..bytes.len() {
+            let cut = Message::read(&bytes[..length]);
+            assert!(cut.is_none_or(|cut| cut.words.len() < message().words.len()), "{length}");
+        }
+        assert_eq!(Message::read(&[&bytes[..], &[0]].concat()), None);
+    }
+
+    #[test]
+    fn an_earlier_program_takes_it_for_noise() {
+        // Its words are letters, digits, - and _.
+        assert!(!FIRST.is_ascii_alphanumeric() && FIRST != b'-' && FIRST != b'_');
+    }
+
+    #[test]
+    fn a_later_life_counts_for_more_than_any_word_on_an_earlier_one() {
+        let first = Incarnation::of_start(1000);
+        let contradicted = (0..100).fold(first, |word, _| word.next());
+        assert!(first < contradicted && contradicted < Incarnation::of_start(1001));
+        assert!(contradicted.next_life() > contradicted && contradicted.next_life().life() == 1001);
+        assert!(Incarnation(u64::MAX).next() >= Incarnation(u64::MAX));
+        assert!(Incarnation(u64::MAX).next_life() <= Incarnation(u64::MAX).next());
+    }
+}
