Routers find each other and pass on the turns of the dead: membership wired into the program

Need: a router that dies kept its place in the fixed order of peers, and its turns with it.

peers.listen, address, listed and networks in the operator's file; peers.me and peers.all are read still, with a note in the log, as a list of addresses. The reducer's new part (reducer/peers.rs) feeds the membership, hands the core which of how many routers this is (Router::among), and sends words on members to those alone that are alive, or are listed and speak as programs of before do. A datagram of the membership begins with a byte that no earlier program reads as a word. SIGTERM says goodbye.

Checked: all tests of the workspace, tests/mixed.rs with routers of the old and new shape among them. The core's only change is a field that its interface may set; no decision differs where peers are off.

--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -107,7 +107,7 @@
 
 /// A router: what one instance knows, and nothing that it shares.
 pub struct Router {
-    deployment: Deployment,
+    pub(crate) deployment: Deployment,
     rows: Vec<Row>,
     started: Time,
     chance: WyRand,
--- a/crates/ladderpass-core/src/interface.rs
+++ b/crates/ladderpass-core/src/interface.rs
@@ -280,3 +280,10 @@
     pub forgotten: Vec<MemberId>,
     pub wake: Option<Time>,
 }
+
+impl crate::decide::Router {
+    /// How many routers there are by now, and which of them this is.
+    pub fn among(&mut self, me: u32, routers: u32) {
+        (self.deployment.me, self.deployment.routers) = (me, routers);
+    }
+}
--- a/crates/ladderpass-deployment/src/operator.rs
+++ b/crates/ladderpass-deployment/src/operator.rs
@@ -7,7 +7,7 @@
 use ladderpass_overload::{Band, Settings};
 use serde::Deserialize;
 use serde_saphyr::Spanned;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 /// What the file may hold. Without the file none of it acts.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -22,12 +22,18 @@
     pub sizes: bool,
 }
 
-/// The routers that tell each other what members told them, by datagrams; each knows all by the same order.
+/// The routers that tell each other who is alive and what members told them, by datagrams.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Peers {
-    /// Which of `all` this one is.
-    pub me: usize,
-    pub all: Vec<SocketAddr>,
+    /// Where this router hears the others, and where they send to.
+    pub listen: SocketAddr,
+    pub address: SocketAddr,
+    /// Where others may be found; those found there tell of the rest.
+    pub listed: Vec<SocketAddr>,
+    /// From where routers that nobody has listed may join: address and bits.
+    pub networks: Vec<(IpAddr, u8)>,
+    /// It is the form of before: a fixed order, of which this router takes the addresses alone.
+    pub earlier: bool,
 }
 
 const PEERS_MOST: usize = 1000;
@@ -57,8 +63,12 @@
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct PeersShape {
-    me: Spanned<u32>,
-    all: Vec<Spanned<String>>,
+    listen: Option<Spanned<String>>,
+    address: Option<Spanned<String>>,
+    listed: Option<Vec<Spanned<String>>>,
+    networks: Option<Vec<Spanned<String>>>,
+    me: Option<Spanned<u32>>,
+    all: Option<Vec<Spanned<String>>>,
 }
 
 #[derive(Deserialize)]
@@ -140,25 +150,75 @@
 }
 
 fn peers(shape: PeersShape) -> Result<Peers, String> {
+    if let (Some(me), Some(all)) = (&shape.me, &shape.all) {
+        return earlier(me, all);
+    }
+    let named = shape.listen.as_ref().or(shape.address.as_ref());
+    let lone = shape.me.as_ref().map(line).or(shape.all.iter().flatten().next().map(line));
+    if let Some(line) = lone {
+        return Err(format!("line {line}: peers: me and all stand together; allowed are listen and listed"));
+    }
+    let Some(listen) = &shape.listen else {
+        let line = named.or(shape.listed.iter().flatten().next()).map_or(0, line);
+        return Err(format!("line {line}: peers.listen: missing; allowed is address:port"));
+    };
+    let own = address(listen, "peers.listen")?;
+    let told = shape.address.as_ref().map(|told| address(told, "peers.address")).transpose()?;
+    let listed = shape.listed.unwrap_or_default();
+    let networks = shape.networks.unwrap_or_default();
+    if listed.is_empty() && networks.is_empty() {
+        return Err(at(listen, "peers.listed", "no address and no network; allowed is at least one"));
+    }
+    let networks = networks.iter().map(network).collect::<Result<Vec<_>, _>>()?;
+    Ok(Peers {
+        listen: own,
+        address: told.unwrap_or(own),
+        listed: addresses(&listed, "peers.listed")?,
+        networks,
+        earlier: false,
+    })
+}
+
+/// The form of before: the same list everywhere, in the same order, and which of it each router is.
+fn earlier(me: &Spanned<u32>, all: &[Spanned<String>]) -> Result<Peers, String> {
+    let listed = addresses(all, "peers.all")?;
+    if listed.len() < 2 {
+        let text = format!("{}; allowed are 2 to {PEERS_MOST} addresses", listed.len());
+        return Err(at(me, "peers.all", &text));
+    }
+    let own = listed.get(me.value as usize).copied();
+    let fault = || at(me, "peers.me", &format!("{}; allowed are 0 to {}", me.value, listed.len() - 1));
+    let own = own.ok_or_else(fault)?;
+    Ok(Peers { listen: own, address: own, listed, networks: Vec::new(), earlier: true })
+}
+
+fn address(text: &Spanned<String>, key: &str) -> Result<SocketAddr, String> {
+    let address = text.value.parse::<SocketAddr>().ok();
+    let usable = address.filter(|address| address.port() > 0 && !address.ip().is_unspecified());
+    usable.ok_or_else(|| at(text, key, &format!("{:?}; allowed is address:port", text.value)))
+}
+
+fn addresses(texts: &[Spanned<String>], key: &str) -> Result<Vec<SocketAddr>, String> {
     let mut all = Vec::new();
-    for text in &shape.all {
-        let address = text.value.parse::<SocketAddr>().ok().filter(|address| address.port() > 0);
-        let fault = || at(text, "peers.all", &format!("{:?}; allowed is address:port", text.value));
-        let address = address.ok_or_else(fault)?;
+    for text in texts {
+        let address = address(text, key)?;
         if all.contains(&address) {
-            return Err(at(text, "peers.all", &format!("{address} stands twice; allowed is once")));
+            return Err(at(text, key, &format!("{address} stands twice; allowed is once")));
+        }
+        if all.len() == PEERS_MOST {
+            return Err(at(text, key, &format!("more than the {PEERS_MOST} addresses allowed")));
         }
         all.push(address);
     }
-    if all.len() < 2 || all.len() > PEERS_MOST {
-        let text = format!("{}; allowed are 2 to {PEERS_MOST} addresses", all.len());
-        return Err(at(&shape.me, "peers.all", &text));
-    }
-    let me = shape.me.value as usize;
-    if me >= all.len() {
-        return Err(at(&shape.me, "peers.me", &format!("{me}; allowed are 0 to {}", all.len() - 1)));
-    }
-    Ok(Peers { me, all })
+    Ok(all)
+}
+
+fn network(text: &Spanned<String>) -> Result<(IpAddr, u8), String> {
+    let fault = || at(text, "peers.networks", &format!("{:?}; allowed is address/bits", text.value));
+    let (ip, bits) = text.value.split_once('/').ok_or_else(fault)?;
+    let (ip, bits) = (ip.parse::<IpAddr>().map_err(|_| fault())?, bits.parse::<u8>().map_err(|_| fault())?);
+    let most = if ip.is_ipv4() { 32 } else { 128 };
+    if bits > most { Err(fault()) } else { Ok((ip, bits)) }
 }
 
 fn settings(shape: OverloadShape) -> Result<Settings, String> {
@@ -288,7 +348,13 @@
         let text =
             "peers: {me: 1, all: ['127.0.0.1:7400', '127.0.0.1:7401']}\nmembers: {zone: a, sizes: true}";
         let operator = read(text).expect("all of it is allowed");
-        assert_eq!(operator.peers.as_ref().map(|peers| (peers.me, peers.all.len())), Some((1, 2)));
+        let peers = operator.peers.expect("it is there");
+        assert_eq!((peers.listen.port(), peers.address.port(), peers.listed.len()), (7401, 7401, 2));
+        assert!(peers.earlier && peers.networks.is_empty());
+        let text = "peers: {listen: '10.0.0.9:7400', address: '[fd00::9]:7400', listed: [], networks: ['fd00::/8', '10.0.0.0/9']}";
+        let peers = read(text).expect("all of it is allowed").peers.expect("it is there");
+        assert_eq!((peers.listen.port(), peers.address.is_ipv6(), peers.networks[1].1), (7400, true, 9));
+        assert!(!peers.earlier);
         assert_eq!((operator.zone.as_deref(), operator.sizes), (Some("a"), true));
     }
 
@@ -311,7 +377,18 @@
             ("peers:\n  me: 0\n  all: [127.0.0.1:1]", ["line 2", "peers.all", "2 to 1000"]),
             ("peers:\n  me: 0\n  all: [127.0.0.1:1, here]", ["line 3", "peers.all", "address:port"]),
             ("peers:\n  me: 0\n  all: [127.0.0.1:1, 127.0.0.1:1]", ["line 3", "peers.all", "once"]),
-            ("peers: {me: 0}", ["line 1", "all", "missing"]),
+            ("peers: {me: 0}", ["line 1", "peers", "listen"]),
+            ("peers: {listed: ['127.0.0.1:1']}", ["line 1", "peers.listen", "missing"]),
+            (
+                "peers:\n  listen: 0.0.0.0:7400\n  listed: [10.0.0.1:1]",
+                ["line 2", "peers.listen", "address:port"],
+            ),
+            ("peers:\n  listen: 10.0.0.1:7400", ["line 2", "peers.listed", "at least one"]),
+            (
+                "peers:\n  listen: 10.0.0.1:7400\n  networks: [10.0.0.0/33]",
+                ["line 3", "peers.networks", "bits"],
+            ),
+            ("peers:\n  listen: 10.0.0.1:7400\n  colour: red", ["line", "colour", "listen"]),
             ("members:\n  zone: ''", ["line 2", "members.zone", "name of a zone"]),
             ("members:\n  sizes: big", ["line 2", "sizes", "bool"]),
         ] {
--- a/crates/ladderpass-membership/src/detector.rs
+++ b/crates/ladderpass-membership/src/detector.rs
@@ -69,7 +69,7 @@
 #[derive(Clone, Copy)]
 struct Listed {
     address: SocketAddr,
-    /// It spoke as earlier programs do, which have no part in this.
+    /// When it last spoke as programs of before do, which have no part in this; at first all may be such.
     earlier: Time,
 }
 
@@ -140,7 +140,7 @@
     ) -> Membership {
         let mut chance = WyRand::new_seed(seed);
         let others = listed.iter().filter(|&&address| address != own.address);
-        let listed = others.map(|&address| Listed { address, earlier: Time::NEVER }).collect();
+        let listed = others.map(|&address| Listed { address, earlier: now }).collect();
         // Those that start together don't ask together.
         let ask_at = now + settings.every * (chance.generate_range(0..1000u32) as f64 / 1000.0);
         Membership {
@@ -699,6 +699,12 @@
         let mut room = self.settings.bytes.saturating_sub(message.length());
         let often = self.often();
         let mut news: Vec<(u32, SocketAddr)> = self.rumours.iter().map(|(&who, &told)| (told, who)).collect();
+        // No more than these have room: the others need no order.
+        let most = self.settings.bytes / SHORTEST + 1;
+        if news.len() > most {
+            news.select_nth_unstable(most);
+            news.truncate(most);
+        }
         news.sort_unstable();
         for (told, who) in news {
             if let Some(word) = self.table.word(who)
--- a/crates/ladderpass/src/faulty.rs
+++ b/crates/ladderpass/src/faulty.rs
@@ -2,6 +2,9 @@
 //!
 //! It owns the switches. It must never be on in a build without the feature `faulty`.
 
+use ladderpass_core::Span;
+use ladderpass_membership as membership;
+
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Faulty {
     #[default]
@@ -24,6 +27,8 @@
     TrustsLengths,
     /// Ends at SIGTERM with what it holds.
     LosesAtStop,
+    /// A fault of its idea of who is alive.
+    Membership(membership::Faulty),
 }
 
 impl Faulty {
@@ -41,6 +46,12 @@
             Some("reuses-unquiet") => Ok(Faulty::ReusesUnquiet),
             Some("trusts-lengths") => Ok(Faulty::TrustsLengths),
             Some("loses-at-stop") => Ok(Faulty::LosesAtStop),
+            Some("never-suspects") => Ok(Faulty::Membership(membership::Faulty::NeverSuspects)),
+            Some("believes-the-first-rumour") => {
+                Ok(Faulty::Membership(membership::Faulty::BelievesTheFirstRumour))
+            }
+            Some("forgets-incarnations") => Ok(Faulty::Membership(membership::Faulty::ForgetsIncarnations)),
+            Some("keeps-the-deads-turns") => Ok(Faulty::Membership(membership::Faulty::KeepsTheDeadsTurns)),
             Some(other) => Err(format!("LADDERPASS_FAULTY: {other:?} is no switch")),
         }
     }
@@ -49,4 +60,17 @@
     pub fn is(self, other: Faulty) -> bool {
         cfg!(feature = "faulty") && self == other
     }
+    pub fn of_membership(self) -> membership::Faulty {
+        match self {
+            Faulty::Membership(faulty) if cfg!(feature = "faulty") => faulty,
+            _ => membership::Faulty::Nowhere,
+        }
+    }
+}
+
+/// How far the wall clock of a build for the lab is off, by `LADDERPASS_CLOCK_MS`: a machine whose clock was stepped.
+pub fn clock(told: Option<String>) -> Result<Span, String> {
+    let Some(text) = told.filter(|_| cfg!(feature = "faulty")) else { return Ok(Span::ZERO) };
+    let ms = text.parse::<i32>().map_err(|_| format!("LADDERPASS_CLOCK_MS: {text:?} is no number"))?;
+    Ok(Span::from_millis(i64::from(ms)))
 }
--- a/crates/ladderpass/src/launch.rs
+++ b/crates/ladderpass/src/launch.rs
@@ -4,8 +4,9 @@
 //! It owns nothing after that. It must never keep what it has read, and no other file may read the environment.
 
 use crate::discovery::Listing;
-use crate::faulty::Faulty;
+use crate::faulty::{self, Faulty};
 use crate::limits::Limits;
+use ladderpass_core::Span;
 use ladderpass_deployment::Facts;
 use ladderpass_deployment::operator::{self, Operator};
 use ladderpass_overload::Allowance;
@@ -26,6 +27,8 @@
     pub allowance: Allowance,
     pub operator: Operator,
     pub faulty: Faulty,
+    /// How far the wall clock is off, in a build for the lab.
+    pub clock: Span,
 }
 
 /// What a process that runs can't change any more.
@@ -89,6 +92,7 @@
         let mut launch =
             Launch::of(name, listen, discovery, &text).map_err(|fault| format!("RELAY_CONFIG: {fault}"))?;
         launch.faulty = Faulty::read(variable("LADDERPASS_FAULTY"))?;
+        launch.clock = faulty::clock(variable("LADDERPASS_CLOCK_MS"))?;
         if let Some(path) = own {
             let fault = |fault: String| format!("{}: {fault}", path.display());
             let text = std::fs::read_to_string(path).map_err(|error| fault(error.to_string()))?;
@@ -98,7 +102,9 @@
         let deployment = &mut launch.facts.deployment;
         deployment.peers = launch.operator.peers.is_some();
         if let Some(peers) = &launch.operator.peers {
-            (deployment.me, deployment.routers) = (peers.me as u32, peers.all.len() as u32);
+            // Until they have found each other: as many as are listed.
+            let others = peers.listed.iter().filter(|&&address| address != peers.address).count();
+            (deployment.me, deployment.routers) = (0, others as u32 + 1);
         }
         Ok(launch)
     }
@@ -138,7 +144,16 @@
         line("log.figures", format!("{} ms", log.figures.nanos() / 1_000_000));
         match &self.operator.peers {
             Some(peers) => {
-                line("peers", format!("{} of {} at {}", peers.me, peers.all.len(), peers.all[peers.me]))
+                let (address, listed) = (peers.address, peers.listed.len());
+                line("peers", format!("{address}, heard at {}, {listed} listed", peers.listen));
+                let networks: Vec<String> =
+                    peers.networks.iter().map(|(ip, bits)| format!("{ip}/{bits}")).collect();
+                let others =
+                    if networks.is_empty() { "the listed alone".into() } else { networks.join(", ") };
+                line("peers.networks", others);
+                if peers.earlier {
+                    line("peers.me, peers.all", "the form of before: write listen and listed".into());
+                }
             }
             None => line("peers", "off: routers tell each other nothing".into()),
         }
@@ -214,6 +229,7 @@
             allowance,
             operator,
             faulty: Faulty::Nowhere,
+            clock: Span::ZERO,
         })
     }
 }
--- a/crates/ladderpass/src/reducer.rs
+++ b/crates/ladderpass/src/reducer.rs
@@ -30,6 +30,8 @@
 mod members;
 #[path = "reducer/own.rs"]
 mod own;
+#[path = "reducer/peers.rs"]
+mod peers;
 #[path = "reducer/watch.rs"]
 mod watch;
 
@@ -37,6 +39,7 @@
 use clients::{Client, Ids, Phase, Waiting};
 use members::{Answer, Job, Link, Member};
 use own::Own;
+use peers::Peers;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ConnId(pub u64);
@@ -62,8 +65,8 @@
     Deaf,
     /// The process did not run for so long: what is read in this batch may have waited since.
     StoodStill(Span),
-    /// A datagram of another router.
-    Whispered(Vec<u8>),
+    /// A datagram to this router from there.
+    Whispered(SocketAddr, Vec<u8>),
     /// What the router is told was read anew.
     Told(Box<Launch>),
     Terminate,
@@ -80,8 +83,8 @@
     Read(ConnId),
     Close(ConnId),
     Accept(bool),
-    /// There is something in `whispers` for all other routers.
-    Whisper,
+    /// There is something in `datagrams` for other routers.
+    Datagrams,
     /// Take what waits at the listener, close it, and say `Deaf`.
     StopListening,
     Exit,
@@ -173,8 +176,8 @@
     /// Weights of the list are sizes.
     sizes: bool,
     circle: Circle,
-    /// Messages that wait to be sent to all other routers.
-    whispers: Vec<String>,
+    /// None: there is nobody to talk to.
+    peers: Option<Box<Peers>>,
     groups: HashMap<u64, u32>,
     generation: u64,
     watch: Option<ConnId>,
@@ -217,6 +220,7 @@
 
 impl Reducer {
     pub fn start(now: Time, launch: Launch) -> Reducer {
+        let peers = Peers::new(now, &launch).map(Box::new);
         let facts = launch.facts;
         let own = Own::new(now, &launch.operator, launch.allowance, facts.deployment.methods.len());
         let mut zones = Names::default();
@@ -244,7 +248,7 @@
             sizes: launch.operator.sizes,
             zones,
             circle: Circle::new(Time::default(), launch.operator.zone.as_deref().unwrap_or_default()),
-            whispers: Vec::new(),
+            peers,
             groups: HashMap::new(),
             generation: 0,
             watch: None,
@@ -355,7 +359,8 @@
         let spans = self.limits.client_waits.iter();
         let longest = self.waiting.iter().zip(spans).filter_map(|(set, &span)| Some(set.first()?.0 + span));
         let place = longest.min().filter(|_| self.clients > self.limits.clients_eased);
-        [first, self.core_wake, deaf_at, parting, place].into_iter().flatten().min()
+        let peers = self.peers.as_ref().map(|peers| peers.wake());
+        [first, self.core_wake, deaf_at, parting, place, peers].into_iter().flatten().min()
     }
 
     pub fn apply(&mut self, now: Time, event: Event) -> Vec<Effect> {
@@ -376,7 +381,7 @@
                 tracing::warn!("stood still for {:.0} ms", span.secs() * 1e3);
                 self.behind = span;
             }
-            Event::Whispered(text) => self.whispered(now, &text),
+            Event::Whispered(from, bytes) => self.whispered(now, from, &bytes),
             Event::Told(launch) => self.told(now, *launch),
             Event::Terminate => self.terminate(now),
             Event::Turn => {
@@ -411,6 +416,7 @@
         if let Some(since) = self.stopping {
             self.keep_stopping(now, since);
         }
+        self.tend_peers(now);
         let upkeep = self.router.tend(now);
         for (rpc, decision) in upkeep.decisions {
             self.carry_out(now, rpc, decision);
@@ -419,8 +425,7 @@
             self.probe(now, member);
         }
         if !upkeep.tell.is_empty() {
-            self.whispers.extend(self.circle.tell(&upkeep.tell, &self.names));
-            self.effects.push(Effect::Whisper);
+            self.whisper(now, &upkeep.tell);
         }
         if upkeep.ask_list {
             self.ask_list(now);
@@ -437,19 +442,8 @@
         }
     }
 
-    /// Messages for all other routers; they are taken as they are sent.
-    pub fn whispers(&mut self) -> Vec<String> {
-        std::mem::take(&mut self.whispers)
-    }
-
-    fn whispered(&mut self, now: Time, text: &[u8]) {
-        let Ok(text) = std::str::from_utf8(text) else { return };
-        for news in self.circle.hear(text, now) {
-            self.router.told(now, news);
-        }
-    }
-
     fn tell_tally(&mut self, now: Time) {
+        self.tell_peers();
         let (answers, answer_time) = self.answers();
         let tally = std::mem::replace(&mut self.tally, Tally { told_at: now, ..Tally::default() });
         tracing::info!(
@@ -690,6 +684,7 @@
         }
         tracing::info!("stopping: {} clients, {} rpcs", self.clients, self.calls.len());
         self.stopping = Some(now);
+        self.leave_peers(now);
         if self.faulty.is(Faulty::LosesAtStop) {
             self.effects.push(Effect::Exit);
         }
--- /dev/null
+++ b/crates/ladderpass/src/reducer/peers.rs
@@ -0,0 +1,176 @@
+//! The other routers: who is alive, what is said to them and heard from them.
+//!
+//! It owns these invariants: the core's idea of how many routers there are, and which of them this is, follows the
+//! membership's; words on members go to those that are alive and come from those that may speak. It must never judge who
+//! is alive, nor what a word is worth.
+
+use super::*;
+use ladderpass_membership::{Change, FIRST, Membership, Own as Me, Settings, View};
+use std::fmt::Write;
+
+pub(super) struct Peers {
+    membership: Membership,
+    view: View,
+    wake: Time,
+    /// Until then those that are listed count as there: a router that has just started has not found them yet.
+    settled_at: Time,
+    listed: usize,
+    out: Vec<(SocketAddr, Vec<u8>)>,
+}
+
+const SETTLES: Span = Span::from_millis(2000);
+/// Routers that one line of the log names.
+const NAMED: usize = 6;
+
+impl Peers {
+    pub(super) fn new(now: Time, launch: &Launch) -> Option<Peers> {
+        let peers = launch.operator.peers.as_ref()?;
+        if peers.earlier {
+            tracing::warn!(
+                "peers.me and peers.all are the form of before: write peers.listen and peers.listed"
+            );
+        }
+        let own = Me { address: peers.address, started_unix_ms: now.nanos() / 1_000_000 };
+        let settings = Settings { faulty: launch.faulty.of_membership(), ..Settings::default() };
+        // Another chance than the core's, for routers with one seed: they must not draw the same order.
+        let seed = launch.seed ^ now.nanos() as u64 ^ u64::from(peers.address.port()) << 48;
+        let membership = Membership::start(now, seed, own, &peers.listed, &peers.networks, settings);
+        Some(Peers {
+            view: membership.view(),
+            wake: now,
+            settled_at: now + SETTLES,
+            listed: peers.listed.iter().filter(|&&address| address != peers.address).count() + 1,
+            membership,
+            out: Vec::new(),
+        })
+    }
+
+    pub(super) fn wake(&self) -> Time {
+        self.wake
+    }
+}
+
+impl Reducer {
+    /// Datagrams for other routers; they are taken as they are sent.
+    pub fn datagrams(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
+        self.peers.as_mut().map_or(Vec::new(), |peers| std::mem::take(&mut peers.out))
+    }
+
+    /// A datagram: a word on routers by its first byte, else words on members as all programs exchange them.
+    pub(super) fn whispered(&mut self, now: Time, from: SocketAddr, bytes: &[u8]) {
+        let Some(peers) = self.peers.as_deref_mut() else { return };
+        if bytes.first() == Some(&FIRST) {
+            peers.membership.heard(now, from, bytes);
+            return self.regard(now);
+        }
+        if !peers.membership.knows(now, from) {
+            return;
+        }
+        let Ok(text) = std::str::from_utf8(bytes) else { return };
+        for news in self.circle.hear(text, now) {
+            self.router.told(now, news);
+        }
+    }
+
+    /// Words of the core for all other routers.
+    pub(super) fn whisper(&mut self, now: Time, news: &[ladderpass_core::News]) {
+        let texts = self.circle.tell(news, &self.names);
+        let Some(peers) = self.peers.as_deref_mut() else { return };
+        for to in peers.membership.audience(now) {
+            peers.out.extend(texts.iter().map(|text| (to, text.clone().into_bytes())));
+        }
+        self.effects.push(Effect::Datagrams);
+    }
+
+    pub(super) fn tend_peers(&mut self, now: Time) {
+        let Some(peers) = self.peers.as_deref_mut().filter(|peers| peers.wake <= now) else { return };
+        peers.membership.tend(now);
+        self.regard(now);
+    }
+
+    pub(super) fn leave_peers(&mut self, now: Time) {
+        if let Some(peers) = self.peers.as_deref_mut() {
+            peers.membership.leave(now);
+            self.regard(now);
+        }
+    }
+
+    /// Takes up what the membership has come to.
+    fn regard(&mut self, now: Time) {
+        let Some(peers) = self.peers.as_deref_mut() else { return };
+        peers.wake = peers.membership.wake();
+        let out = peers.membership.out();
+        if !out.is_empty() {
+            peers.out.extend(out);
+            self.effects.push(Effect::Datagrams);
+        }
+        if peers.membership.has_double() {
+            tracing::warn!("fleet: another life of this address was heard; its clock may have gone back");
+        }
+        let view = peers.membership.view();
+        let settling = now < peers.settled_at;
+        let count = if settling { view.count.max(peers.listed) } else { view.count };
+        self.router.among(view.me as u32, count as u32);
+        let changes = peers.membership.changes();
+        if changes.is_empty() && view == peers.view {
+            return;
+        }
+        for (who, change) in changes.iter().filter(|(_, change)| *change == Change::Suspected) {
+            tracing::debug!("fleet: {who} {}", word(*change));
+        }
+        let moved =
+            (view.me, view.count, view.digest) != (peers.view.me, peers.view.count, peers.view.digest);
+        peers.view = view;
+        if moved {
+            tracing::info!(
+                "fleet: view {:08x} of {}, this is {}{}",
+                view.digest,
+                view.count,
+                view.me,
+                names(&changes)
+            );
+        }
+    }
+
+    /// What the log's figures say of the others.
+    pub(super) fn tell_peers(&self) {
+        let Some(peers) = &self.peers else { return };
+        let (view, counts) = (peers.view, peers.membership.counts());
+        tracing::info!(
+            "fleet: {} alive, {} suspected, {} gone, doubt {}; datagrams sent {} ({} bytes), heard {}, dropped {}",
+            view.count,
+            view.suspected,
+            view.gone,
+            peers.membership.health(),
+            counts.sent,
+            counts.bytes,
+            counts.heard,
+            counts.dropped
+        );
+    }
+}
+
+fn word(change: Change) -> &'static str {
+    match change {
+        Change::Joined => "joined",
+        Change::Suspected => "is suspected",
+        Change::Cleared => "is back",
+        Change::Died => "died",
+        Change::Left => "left",
+    }
+}
+
+/// Who came and went, as far as there is room for it.
+fn names(changes: &[(SocketAddr, Change)]) -> String {
+    let told = changes.iter().filter(|(_, change)| *change != Change::Suspected);
+    let mut text = String::new();
+    for (who, change) in told.clone().take(NAMED) {
+        // Writing to a string can't fail.
+        let _ = write!(text, "; {who} {}", word(*change));
+    }
+    let more = told.count().saturating_sub(NAMED);
+    if more > 0 {
+        let _ = write!(text, "; {more} more");
+    }
+    text
+}
--- a/crates/ladderpass/src/sockets.rs
+++ b/crates/ladderpass/src/sockets.rs
@@ -31,9 +31,10 @@
 }
 
 impl Clock {
-    fn new() -> Clock {
+    /// `off`: how far the wall clock of a build for the lab is off.
+    fn new(off: Span) -> Clock {
         let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { origin: Time::from_nanos(wall.as_nanos() as i64), since: Instant::now() }
+        Clock { origin: Time::from_nanos(wall.as_nanos() as i64) + off, since: Instant::now() }
     }
 
     fn now(&self) -> Time {
@@ -64,8 +65,8 @@
     reads: usize,
     unfinished: Vec<ConnId>,
     wires: Wires,
-    /// The other routers, and the socket that they send to.
-    peers: Option<(Rc<UdpSocket>, Vec<SocketAddr>)>,
+    /// The socket that other routers send to.
+    peers: Option<Rc<UdpSocket>>,
     /// What the sockets told and has not been looked at yet: members' answers stand before clients' statements.
     told: VecDeque<ConnId>,
     /// Events looked at before the reducer has its turn.
@@ -101,9 +102,8 @@
             }
         })
         .map_err(|fault| format!("signals: {fault}"))?;
-    let peers = launch.operator.peers.clone();
-    let peers = peers.map(|peers| meet(&handle, peers.me, peers.all)).transpose()?;
-    let clock = Clock::new();
+    let peers = launch.operator.peers.as_ref().map(|peers| meet(&handle, peers.listen)).transpose()?;
+    let clock = Clock::new(launch.clock);
     let reducer = Reducer::start(clock.now(), launch);
     let listener = listen(address, backlog).map_err(|fault| format!("RELAY_LISTEN: {address}: {fault}"))?;
     let listener = Rc::new(listener);
@@ -170,26 +170,21 @@
     Ok(())
 }
 
-/// Opens the socket of the messages between routers; gives it and all the others.
-fn meet(
-    handle: &LoopHandle<'static, Front>,
-    me: usize,
-    all: Vec<SocketAddr>,
-) -> Result<(Rc<UdpSocket>, Vec<SocketAddr>), String> {
-    let own = all[me];
+/// Opens the socket of the messages between routers.
+fn meet(handle: &LoopHandle<'static, Front>, own: SocketAddr) -> Result<Rc<UdpSocket>, String> {
     let open = || -> io::Result<UdpSocket> {
         let socket = UdpSocket::bind(own)?;
         socket.set_nonblocking(true)?;
         Ok(socket)
     };
-    let socket = Rc::new(open().map_err(|fault| format!("peers.all: {own}: {fault}"))?);
+    let socket = Rc::new(open().map_err(|fault| format!("peers.listen: {own}: {fault}"))?);
     let source = Generic::new(socket.clone(), Interest::READ, Mode::Level);
     let done = handle.insert_source(source, |_, _, front: &mut Front| {
         front.hear_peers();
         Ok(PostAction::Continue)
     });
     done.map_err(|fault| format!("peers: {fault}"))?;
-    Ok((socket, all.into_iter().filter(|&other| other != own).collect()))
+    Ok(socket)
 }
 
 fn listen(address: SocketAddr, backlog: i32) -> io::Result<TcpListener> {
@@ -278,7 +273,7 @@
                     Effect::Read(id) => self.read(id, true),
                     Effect::Close(id) => self.close(id),
                     Effect::Accept(wanted) => self.listen(wanted),
-                    Effect::Whisper => self.whisper(),
+                    Effect::Datagrams => self.send_datagrams(),
                     Effect::StopListening => self.stop_listening(),
                     Effect::Exit => self.over = true,
                 }
@@ -286,27 +281,22 @@
         }
     }
 
-    /// Guards against a flood, and against strangers: so many datagrams a turn, and only the other routers' count.
+    /// Guards against a flood: so many datagrams a turn. Whose words count is not this loop's to say.
     fn hear_peers(&mut self) {
-        let Some((socket, others)) = self.peers.clone() else { return };
-        let mut room = [0; 512];
+        let Some(socket) = self.peers.clone() else { return };
+        let mut room = [0; 2048];
         for _ in 0..self.budget {
             let Ok((count, from)) = socket.recv_from(&mut room) else { return };
-            if others.contains(&from) {
-                self.apply(Event::Whispered(room[..count].to_vec()));
-            }
+            self.apply(Event::Whispered(from, room[..count].to_vec()));
         }
     }
 
     /// One that can't be sent is lost, as on any way.
-    fn whisper(&mut self) {
-        let whispers = self.reducer.whispers();
-        let Some((socket, others)) = &self.peers else { return };
-        for text in whispers {
-            for other in others {
-                if let Err(fault) = socket.send_to(text.as_bytes(), other) {
-                    tracing::debug!("message to {other}: {fault}");
-                }
+    fn send_datagrams(&mut self) {
+        let Some(socket) = &self.peers else { return };
+        for (to, bytes) in self.reducer.datagrams() {
+            if let Err(fault) = socket.send_to(&bytes, to) {
+                tracing::debug!("datagram to {to}: {fault}");
             }
         }
     }
--- a/crates/ladderpass/tests/mixed.rs
+++ b/crates/ladderpass/tests/mixed.rs
@@ -228,7 +228,13 @@
     let plan = Plan { connections: 20, pipeline: 1, ..open(3, &[(1.0, 50.0)]) };
     load::run(&scenario, router.address, &plan, |_| {}).expect("load");
     let mut room = [0; 512];
-    let (count, from) = other.recv_from(&mut room).expect("it tells within seconds");
+    let (count, from) = loop {
+        // It also asks whether a router of its own kind is there.
+        let (count, from) = other.recv_from(&mut room).expect("it tells within seconds");
+        if room[0] != ladderpass_membership::FIRST {
+            break (count, from);
+        }
+    };
     assert_eq!(from, own);
     let text = std::str::from_utf8(&room[..count]).expect("letters");
     let now = ladderpass_fleet::loopback::now() - Time::default();
--- a/crates/ladderpass/tests/rules.rs
+++ b/crates/ladderpass/tests/rules.rs
@@ -139,7 +139,7 @@
                 }
                 Effect::Exit => self.exited = true,
                 Effect::StopListening => self.apply(Event::Deaf),
-                Effect::Read(_) | Effect::Accept(_) | Effect::Whisper => {}
+                Effect::Read(_) | Effect::Accept(_) | Effect::Datagrams => {}
             }
         }
     }
