Fault tool: datagrams between named ends, links cut and healed, what passes of RPCs

Need: routers talk to each other by datagrams, which no fault could reach; a split needs links that hold back what comes and heal; a judge over several routers needs to see call-outs beside the router, not where a cut hides their end.

datagrams.rs (pure: drop, delay, duplicate, reorder, one way, both, by side) and mesh.rs (one socket an end, so that each end sees the others at the addresses it knows); cut, heal and watch in the control, and say() for the process that has the tool.

--- a/crates/ladderpass-faults/src/control.rs
+++ b/crates/ladderpass-faults/src/control.rs
@@ -1,5 +1,5 @@
 //! Control while it runs: one line asks, one answers, over a unix socket. `add RULE` (YAML on one line), `lift NAME`,
-//! `list`, `wait NAME N MS`, `stats`.
+//! `list`, `wait NAME N MS`, `stats`, `cut LINK`, `heal LINK`, `watch`.
 //!
 //! It owns the words. It must never change the engine but by its own calls.
 
@@ -16,6 +16,11 @@
     /// Until that rule has acted so often, for so long at most.
     Wait(String, u64, Span),
     Stats,
+    /// Nothing goes through that link, either way, until it is healed.
+    Cut(String),
+    Heal(String),
+    /// What passes of RPCs is kept, for a judge.
+    Watch,
 }
 
 /// What is answered to a line.
@@ -34,6 +39,9 @@
         ("lift", name) if !name.is_empty() => Ok(Asked::Lift(name.to_owned())),
         ("list", "") => Ok(Asked::List),
         ("stats", "") => Ok(Asked::Stats),
+        ("watch", "") => Ok(Asked::Watch),
+        ("cut", link) if !link.is_empty() => Ok(Asked::Cut(link.to_owned())),
+        ("heal", link) if !link.is_empty() => Ok(Asked::Heal(link.to_owned())),
         ("wait", rest) => {
             let words: Vec<&str> = rest.split_whitespace().collect();
             let [name, hits, ms] = words[..] else { return Err("wait: allowed is wait NAME HITS MS".into()) };
@@ -41,9 +49,9 @@
             let ms: u32 = ms.parse().map_err(|_| format!("wait: MS {ms:?} is no number of milliseconds"))?;
             Ok(Asked::Wait(name.to_owned(), hits, Span::from_millis(i64::from(ms))))
         }
-        (other, _) => {
-            Err(format!("{other:?}; allowed are add RULE, lift NAME, list, wait NAME HITS MS, stats"))
-        }
+        (other, _) => Err(format!(
+            "{other:?}; allowed are add RULE, lift NAME, list, wait NAME HITS MS, stats, cut LINK, heal LINK, watch"
+        )),
     }
 }
 
@@ -60,6 +68,18 @@
             Ok(todo) => (Reply::Now("ok".into()), todo),
             Err(fault) => error(format!("lift: {fault}")),
         },
+        Ok(Asked::Cut(link)) => match engine.cut(&link) {
+            Ok(()) => (Reply::Now("ok".into()), Vec::new()),
+            Err(fault) => error(format!("cut: {fault}")),
+        },
+        Ok(Asked::Heal(link)) => match engine.heal(now, &link) {
+            Ok(todo) => (Reply::Now("ok".into()), todo),
+            Err(fault) => error(format!("heal: {fault}")),
+        },
+        Ok(Asked::Watch) => {
+            engine.watch();
+            (Reply::Now("ok".into()), Vec::new())
+        }
         Ok(Asked::List) => {
             let rules: Vec<String> = engine
                 .list()
--- a/crates/ladderpass-faults/src/driver.rs
+++ b/crates/ladderpass-faults/src/driver.rs
@@ -3,7 +3,8 @@
 //! It owns the bytes that wait for their time. It must never decide what happens to them: the engine does.
 
 use crate::control::{self, Reply};
-use crate::engine::{Conn, Do, Engine, What};
+use crate::engine::{Conn, Do, Engine, Passed, What};
+use crate::mesh::RunningMesh;
 use crate::plan::{Plan, Side};
 use crate::record::Decision;
 use ladderpass_core::{Span, Time};
@@ -15,7 +16,8 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 const WAKE: Token = Token(0);
 const CONTROL: Token = Token(1);
@@ -25,6 +27,10 @@
 pub struct Left {
     pub record: Vec<Decision>,
     pub never_fired: Vec<String>,
+    /// What passed of RPCs, where the control was told to `watch`; times from the tool's start.
+    pub passed: Vec<Passed>,
+    /// Unix time of its start.
+    pub began: Time,
 }
 
 /// A tool that runs on a thread of its own.
@@ -33,13 +39,19 @@
     pub addresses: Vec<SocketAddr>,
     stop: Arc<AtomicBool>,
     waker: Arc<Waker>,
+    /// Lines of the control said by the process that has it.
+    lines: Sender<(String, Sender<String>)>,
     thread: Option<std::thread::JoinHandle<Left>>,
+    /// Datagrams, where the plan has some.
+    pub mesh: Option<RunningMesh>,
 }
 
 impl Running {
     pub fn start(plan: Plan, control: Option<&Path>) -> io::Result<Running> {
+        let mesh = (!plan.ends.is_empty()).then(|| RunningMesh::start(plan.mesh())).transpose()?;
         let poll = Poll::new()?;
         let waker = Arc::new(Waker::new(poll.registry(), WAKE)?);
+        let (lines, said) = channel();
         let mut listeners = Vec::new();
         for (nth, link) in plan.links.iter().enumerate() {
             let named =
@@ -58,6 +70,8 @@
         }
         let stop = Arc::new(AtomicBool::new(false));
         let begun = Instant::now();
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let began = Time::from_nanos(unix.as_nanos() as i64);
         let mut driver = Driver {
             next: LINKS + plan.links.len(),
             to: plan.links.iter().map(|link| link.to).collect(),
@@ -71,6 +85,7 @@
             late: BTreeMap::new(),
             number: 0,
             askers: HashMap::new(),
+            said,
         };
         let stopped = stop.clone();
         let thread = std::thread::Builder::new().name("faults".into()).spawn(move || {
@@ -83,14 +98,35 @@
             }
             Left {
                 record: driver.engine.record().to_vec(),
+                passed: driver.engine.passed(),
+                began,
                 never_fired: driver.engine.never_fired().into_iter().map(str::to_owned).collect(),
             }
         })?;
-        Ok(Running { addresses, stop, waker, thread: Some(thread) })
+        Ok(Running { addresses, stop, waker, lines, thread: Some(thread), mesh })
+    }
+
+    /// A line of the control; what is answered to it at once. `wait` is for those that ask from outside.
+    pub fn say(&self, line: &str) -> Result<String, String> {
+        let (answer, answered) = channel();
+        let gone = || "the tool has ended".to_owned();
+        self.lines.send((line.to_owned(), answer)).map_err(|_| gone())?;
+        self.waker.wake().map_err(|fault| fault.to_string())?;
+        let text = answered.recv_timeout(Duration::from_secs(5)).map_err(|_| gone())?;
+        match text.split_once(' ') {
+            Some(("error", why)) => Err(why.to_owned()),
+            _ => Ok(text),
+        }
     }
 
     pub fn stop(mut self) -> Left {
-        self.end().unwrap_or(Left { record: Vec::new(), never_fired: Vec::new() })
+        let nothing = || Left {
+            record: Vec::new(),
+            never_fired: Vec::new(),
+            passed: Vec::new(),
+            began: Time::default(),
+        };
+        self.end().unwrap_or_else(nothing)
     }
 
     fn end(&mut self) -> Option<Left> {
@@ -156,6 +192,7 @@
     late: BTreeMap<(Time, u64), Do>,
     number: u64,
     askers: HashMap<usize, Asker>,
+    said: Receiver<(String, Sender<String>)>,
 }
 
 impl Driver {
@@ -178,7 +215,7 @@
             }
             for event in &events {
                 match event.token() {
-                    WAKE => {}
+                    WAKE => self.take_lines(),
                     CONTROL => self.hear()?,
                     Token(index) if index < LINKS + self.listeners.len() => self.accept(index - LINKS)?,
                     Token(index) if self.askers.contains_key(&index) => self.ask(index),
@@ -305,7 +342,8 @@
                 let _ = end.stream.write(&rest);
             }
         }
-        self.engine.closed(conn);
+        let now = self.now();
+        self.engine.closed(now, conn);
     }
 
     fn read(&mut self, index: usize) {
@@ -373,6 +411,20 @@
         }
     }
 
+    fn take_lines(&mut self) {
+        while let Ok((line, answer)) = self.said.try_recv() {
+            let now = self.now();
+            let (reply, todo) = control::carry_out(&mut self.engine, now, &line);
+            self.take(todo);
+            let text = match reply {
+                Reply::Now(text) => text,
+                Reply::Later(..) => "error wait is for the control's socket".into(),
+            };
+            // One that did not wait needs no answer.
+            let _ = answer.send(text);
+        }
+    }
+
     fn hear(&mut self) -> io::Result<()> {
         loop {
             let Some((listener, _)) = &self.control else { return Ok(()) };
--- a/crates/ladderpass-faults/src/engine.rs
+++ b/crates/ladderpass-faults/src/engine.rs
@@ -81,6 +81,23 @@
 struct State {
     ways: [Way; 2],
     over: bool,
+    /// What came while the link was cut, from which side, in its order; and whose end came.
+    stalled: Vec<(Side, Unit)>,
+    stalled_bytes: [usize; 2],
+    stalled_ends: Vec<Side>,
+    /// The RPC whose statement passed and whose answer has not.
+    asked: Option<String>,
+}
+
+/// What passed of an RPC, as the tool sees it beside the one that connects: where its sides' beliefs and the way between
+/// them don't matter.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Passed {
+    pub at: Time,
+    pub link: usize,
+    pub id: String,
+    /// Its statement came; else its answer went, or its connection ended.
+    pub begins: bool,
 }
 
 /// A rule with what has become of it.
@@ -101,6 +118,10 @@
     opened: Vec<u64>,
     record: Vec<Decision>,
     bytes: u64,
+    /// Links through which nothing goes, either way.
+    cut: Vec<bool>,
+    /// Kept where a judge asks for it.
+    passed: Option<Vec<Passed>>,
 }
 
 impl Engine {
@@ -112,6 +133,8 @@
             opened: vec![0; plan.links.len()],
             record: Vec::new(),
             bytes: 0,
+            cut: vec![false; plan.links.len()],
+            passed: None,
             plan: Plan { rules: Vec::new(), ..plan.clone() },
         };
         for rule in plan.rules {
@@ -161,6 +184,80 @@
         Ok(todo)
     }
 
+    /// What passes of RPCs is kept from now on.
+    pub fn watch(&mut self) {
+        self.passed = Some(Vec::new());
+    }
+
+    pub fn passed(&mut self) -> Vec<Passed> {
+        self.passed.take().unwrap_or_default()
+    }
+
+    /// Nothing goes through a link until it is healed, and nobody is told; what came meanwhile goes on then, as the
+    /// kernel's own repeats would bring it.
+    pub fn cut(&mut self, link: &str) -> Result<(), String> {
+        let index = self.link(link)?;
+        self.cut[index] = true;
+        Ok(())
+    }
+
+    pub fn heal(&mut self, now: Time, link: &str) -> Result<Vec<Do>, String> {
+        let index = self.link(link)?;
+        let mut todo = Vec::new();
+        if !std::mem::take(&mut self.cut[index]) {
+            return Ok(todo);
+        }
+        let mut conns: Vec<Conn> = self.conns.keys().filter(|conn| conn.link == index).copied().collect();
+        conns.sort_unstable();
+        for conn in conns {
+            let Some(state) = self.conns.get_mut(&conn) else { continue };
+            state.stalled_bytes = [0, 0];
+            let (units, ends) = (std::mem::take(&mut state.stalled), std::mem::take(&mut state.stalled_ends));
+            for (side, unit) in units {
+                self.unit(now, conn, side, unit, &mut todo);
+            }
+            for side in ends {
+                todo.extend(self.end(now, conn, side));
+            }
+        }
+        Ok(todo)
+    }
+
+    fn link(&self, name: &str) -> Result<usize, String> {
+        let found = self.plan.links.iter().position(|link| link.name == name);
+        found.ok_or_else(|| format!("there is no link {name:?}"))
+    }
+
+    /// Notes what a unit says of an RPC.
+    fn look(&mut self, now: Time, conn: Conn, side: Side, unit: &Unit) {
+        if self.passed.is_none() {
+            return;
+        }
+        let Some(state) = self.conns.get_mut(&conn) else { return };
+        let over = match (side, unit.kind) {
+            (Side::Client, "Query") => {
+                let Some(id) = id_of(&unit.bytes) else { return };
+                state.asked = Some(id.to_owned());
+                Some((id.to_owned(), true))
+            }
+            (Side::Server, "ReadyForQuery") => state.asked.take().map(|id| (id, false)),
+            _ => None,
+        };
+        self.pass(now, conn, over);
+    }
+
+    fn pass(&mut self, at: Time, conn: Conn, what: Option<(String, bool)>) {
+        if let (Some(passed), Some((id, begins))) = (self.passed.as_mut(), what) {
+            passed.push(Passed { at, link: conn.link, id, begins });
+        }
+    }
+
+    /// The one that connected is done with a connection: what it had asked there is over for it.
+    fn parted(&mut self, now: Time, conn: Conn) {
+        let asked = self.conns.get_mut(&conn).and_then(|state| state.asked.take());
+        self.pass(now, conn, asked.map(|id| (id, false)));
+    }
+
     /// By rule: its name, how often it has acted, and whether it still may.
     pub fn list(&self) -> Vec<(&str, u64, bool)> {
         self.rules
@@ -188,7 +285,12 @@
         let Some(state) = self.conns.get(&conn) else { return false };
         let way = &state.ways[side as usize];
         // What is silent is read and left out: its sender must not notice.
-        way.silent || late + way.waiting.len() + way.later.as_ref().map_or(0, Vec::len) < BOUND
+        way.silent
+            || late
+                + state.stalled_bytes[side as usize]
+                + way.waiting.len()
+                + way.later.as_ref().map_or(0, Vec::len)
+                < BOUND
     }
 
     /// A connection has come to a link: its number, whether it is led on, and what is done to it.
@@ -197,7 +299,9 @@
         let conn = Conn { link, number: self.opened[link] };
         let talk = self.plan.links[link].talk;
         let ways = [Way::new(talk, Side::Client), Way::new(talk, Side::Server)];
-        self.conns.insert(conn, State { ways, over: false });
+        let (stalled, stalled_ends) = (Vec::new(), Vec::new());
+        let state = State { ways, over: false, stalled, stalled_bytes: [0, 0], stalled_ends, asked: None };
+        self.conns.insert(conn, state);
         let unit = Unit { at: 0, kind: "open", bytes: Vec::new() };
         let (mut leads, mut todo) = (true, Vec::new());
         for index in self.matching(now, conn, Side::Client, &unit, true) {
@@ -218,6 +322,16 @@
         let units = state.ways[side as usize].scanner.feed(bytes);
         let mut todo = Vec::new();
         for unit in units {
+            if side == Side::Client {
+                self.look(now, conn, side, &unit);
+            }
+            if self.cut[conn.link] {
+                if let Some(state) = self.conns.get_mut(&conn) {
+                    state.stalled_bytes[side as usize] += unit.bytes.len();
+                    state.stalled.push((side, unit));
+                }
+                continue;
+            }
             self.unit(now, conn, side, unit, &mut todo);
         }
         todo
@@ -225,6 +339,19 @@
 
     /// A side has ended its sending.
     pub fn ended(&mut self, now: Time, conn: Conn, side: Side) -> Vec<Do> {
+        if side == Side::Client {
+            self.parted(now, conn);
+        }
+        if self.cut[conn.link] {
+            if let Some(state) = self.conns.get_mut(&conn) {
+                state.stalled_ends.push(side);
+            }
+            return Vec::new();
+        }
+        self.end(now, conn, side)
+    }
+
+    fn end(&mut self, now: Time, conn: Conn, side: Side) -> Vec<Do> {
         let mut todo = Vec::new();
         let Some(state) = self.conns.get_mut(&conn) else { return todo };
         if let Some(unit) = state.ways[side as usize].scanner.end() {
@@ -243,15 +370,18 @@
     }
 
     /// Both of its sockets are gone.
-    pub fn closed(&mut self, conn: Conn) {
+    pub fn closed(&mut self, now: Time, conn: Conn) {
+        self.parted(now, conn);
         self.conns.remove(&conn);
     }
 
     /// The rules that act on a unit, in the order of the plan; those that fit are counted.
     fn matching(&mut self, now: Time, conn: Conn, side: Side, unit: &Unit, opens: bool) -> Vec<usize> {
         let passed = (now - self.started).nanos() / 1_000_000;
-        let fired: Vec<String> =
-            self.rules.iter().filter(|live| live.hits > 0).map(|live| live.rule.name.clone()).collect();
+        // Names are looked up only where some rule asks for another's.
+        let asked = self.rules.iter().any(|live| live.rule.when.seen.is_some());
+        let fired = self.rules.iter().filter(|live| asked && live.hits > 0);
+        let fired: Vec<String> = fired.map(|live| live.rule.name.clone()).collect();
         let mut acting = Vec::new();
         for (index, live) in self.rules.iter_mut().enumerate() {
             let when = &live.rule.when;
@@ -308,6 +438,9 @@
         if self.conns.get(&conn).is_none_or(|state| state.over) {
             return;
         }
+        if side == Side::Server {
+            self.look(now, conn, side, &unit);
+        }
         let acting = self.matching(now, conn, side, &unit, false);
         let to = side.other();
         // What goes on in its place, piece by piece, and what ends the connection behind or before it.
@@ -438,6 +571,14 @@
     }
 }
 
+/// The id in the comment of a statement.
+fn id_of(bytes: &[u8]) -> Option<&str> {
+    let from = bytes.windows(6).rposition(|part| part == b"/* id=")? + 6;
+    let rest = bytes.get(from..)?;
+    let length = rest.iter().position(|&byte| byte == b',' || byte == b' ')?;
+    std::str::from_utf8(rest.get(..length)?).ok()
+}
+
 impl Live {
     fn is_spent(&self) -> bool {
         self.rule.times > 0 && self.hits >= self.rule.times
--- a/crates/ladderpass-faults/src/plan.rs
+++ b/crates/ladderpass-faults/src/plan.rs
@@ -2,40 +2,14 @@
 //!
 //! It owns the form and its checks: a fault is one line with the key. It must never hold what has happened.
 
-use crate::stream::KINDS;
+use crate::datagrams::{DatagramRule, End, MeshPlan};
+use crate::talk::KINDS;
+pub use crate::talk::{Side, Talk};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-/// Who has sent bytes: the one that connected to the link, or the one that the link leads to.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Side {
-    Client,
-    #[default]
-    Server,
-}
-
-impl Side {
-    pub fn other(self) -> Side {
-        match self {
-            Side::Client => Side::Server,
-            Side::Server => Side::Client,
-        }
-    }
-}
-
-/// What is spoken on a link.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Talk {
-    #[default]
-    Postgres,
-    Http,
-    Raw,
-}
-
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LinkShape {
@@ -189,6 +163,9 @@
     pub seed: u64,
     pub links: Vec<LinkShape>,
     pub rules: Vec<Rule>,
+    /// Those that send each other datagrams, and what is done to these.
+    pub ends: Vec<End>,
+    pub datagrams: Vec<DatagramRule>,
 }
 
 fn one_line(text: impl ToString) -> String {
@@ -196,7 +173,7 @@
 }
 
 /// Reads YAML; the fault is one line that names the key.
-fn parse<T: for<'de> Deserialize<'de>>(text: &str) -> Result<T, String> {
+pub(crate) fn one_line_of<T: for<'de> Deserialize<'de>>(text: &str) -> Result<T, String> {
     let value: serde_json::Value = serde_saphyr::from_str(text).map_err(one_line)?;
     let value = if value.is_null() { serde_json::json!({}) } else { value };
     serde_path_to_error::deserialize(value)
@@ -205,7 +182,7 @@
 
 impl Plan {
     pub fn read(text: &str) -> Result<Plan, String> {
-        let plan: Plan = parse(text)?;
+        let plan: Plan = one_line_of(text)?;
         plan.check()?;
         Ok(plan)
     }
@@ -223,6 +200,8 @@
                 return Err(format!("links[{nth}].name: {:?} stands twice", link.name));
             }
         }
+        let mesh = self.mesh().check();
+        mesh.map_err(|fault| fault.replacen("rules[", "datagrams[", 1))?;
         for (nth, rule) in self.rules.iter().enumerate() {
             rule.check(self).map_err(|fault| format!("rules[{nth}].{fault}"))?;
             if self.rules[..nth].iter().any(|other| other.name == rule.name) {
@@ -232,6 +211,11 @@
         Ok(())
     }
 
+    /// The part of it that concerns datagrams.
+    pub fn mesh(&self) -> MeshPlan {
+        MeshPlan { seed: self.seed, ends: self.ends.clone(), rules: self.datagrams.clone() }
+    }
+
     /// Rules drawn by chance, for these links: what nobody has listed.
     pub fn drawn(seed: u64, count: usize, links: Vec<LinkShape>) -> Plan {
         let mut chance = SmallRng::seed_from_u64(seed);
@@ -279,13 +263,13 @@
                 times,
             });
         }
-        Plan { seed, links, rules }
+        Plan { seed, links, rules, ..Plan::default() }
     }
 }
 
 impl Rule {
     pub fn read(text: &str) -> Result<Rule, String> {
-        parse(text)
+        one_line_of(text)
     }
 
     /// Can it act in this plan? What never can is told before it is waited for.
--- a/crates/ladderpass-faults/src/stream.rs
+++ b/crates/ladderpass-faults/src/stream.rs
@@ -3,7 +3,7 @@
 //! It owns where messages begin and end. However bytes are sliced on the way, the units are the same, which is what makes a
 //! run repeat itself. What can't be a message passes unchanged from there on.
 
-use crate::plan::{Side, Talk};
+use crate::talk::{Side, Talk};
 
 /// A part of the stream that rules can hit: a whole message, or bytes that belong to none.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -183,32 +183,6 @@
     }
 }
 
-/// Every kind that a rule may name.
-pub const KINDS: [&str; 22] = [
-    "Startup",
-    "Query",
-    "Parse",
-    "Bind",
-    "Execute",
-    "Sync",
-    "Terminate",
-    "Authentication",
-    "ParameterStatus",
-    "BackendKeyData",
-    "ReadyForQuery",
-    "RowDescription",
-    "DataRow",
-    "CommandComplete",
-    "ErrorResponse",
-    "NoticeResponse",
-    "EmptyQueryResponse",
-    "Other",
-    "Head",
-    "Chunk",
-    "bytes",
-    "cut",
-];
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- /dev/null
+++ b/crates/ladderpass-faults/tests/mesh.rs
@@ -0,0 +1,80 @@
+//! Datagrams and cut links over loopback: who is seen by whom, and what a cut holds back.
+
+use ladderpass_faults::driver::Running;
+use ladderpass_faults::{Plan, RunningMesh};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::time::Duration;
+
+fn socket() -> UdpSocket {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("loopback");
+    socket.set_read_timeout(Some(Duration::from_millis(400))).expect("a time-out");
+    socket
+}
+
+fn free() -> SocketAddr {
+    socket().local_addr().expect("bound")
+}
+
+fn hears(socket: &UdpSocket) -> Option<(Vec<u8>, SocketAddr)> {
+    let mut room = [0; 64];
+    let (count, from) = socket.recv_from(&mut room).ok()?;
+    Some((room[..count].to_vec(), from))
+}
+
+#[test]
+fn each_end_sees_the_others_at_their_addresses_and_a_cut_ends() {
+    let (one, two) = (socket(), socket());
+    let (public_one, public_two) = (free(), free());
+    let text = format!(
+        "{{seed: 1, ends: [{{name: a, address: '{public_one}', to: '{}'}}, {{name: b, address: '{public_two}', to: '{}'}}]}}",
+        one.local_addr().expect("bound"),
+        two.local_addr().expect("bound")
+    );
+    let plan = Plan::read(&text).expect("allowed");
+    let mesh = RunningMesh::start(plan.mesh()).expect("it starts");
+    one.send_to(b"hello", public_two).expect("sent");
+    assert_eq!(hears(&two), Some((b"hello".to_vec(), public_one)));
+    two.send_to(b"there", public_one).expect("sent");
+    assert_eq!(hears(&one), Some((b"there".to_vec(), public_two)));
+    let rule = |text: &str| serde_json::from_str(text).expect("a rule");
+    mesh.add(rule(r#"{"name": "cut", "from": ["a"], "do": "drop"}"#)).expect("allowed");
+    one.send_to(b"lost", public_two).expect("sent");
+    two.send_to(b"back", public_one).expect("sent");
+    assert_eq!(hears(&one).map(|(bytes, _)| bytes), Some(b"back".to_vec()));
+    assert_eq!(hears(&two), None);
+    assert!(mesh.lift("cut"));
+    mesh.add(rule(r#"{"name": "twice", "do": {"duplicate": {"ms": 20}}}"#)).expect("allowed");
+    one.send_to(b"again", public_two).expect("sent");
+    assert!(hears(&two).is_some() && hears(&two).is_some() && hears(&two).is_none());
+    assert_eq!(mesh.sent()[0].datagrams, 3);
+    assert_eq!(mesh.hits(), [("cut".to_owned(), 1), ("twice".to_owned(), 1)]);
+    // A stranger's comes from no end's address.
+    let stranger = socket();
+    stranger.send_to(b"boo", public_two).expect("sent");
+    assert_eq!(hears(&two), Some((b"boo".to_vec(), public_two)));
+}
+
+#[test]
+fn a_cut_link_holds_what_comes_until_it_is_healed() {
+    let server = TcpListener::bind("127.0.0.1:0").expect("loopback");
+    let to = server.local_addr().expect("bound");
+    let text = format!("{{links: [{{name: l, listen: '127.0.0.1:0', to: '{to}', talk: raw}}]}}");
+    let tool = Running::start(Plan::read(&text).expect("allowed"), None).expect("it starts");
+    let mut client = TcpStream::connect(tool.addresses[0]).expect("it listens");
+    let (mut served, _) = server.accept().expect("it leads on");
+    for stream in [&client, &served] {
+        stream.set_read_timeout(Some(Duration::from_millis(300))).expect("a time-out");
+    }
+    let mut room = [0; 16];
+    client.write_all(b"one").expect("written");
+    assert_eq!(served.read(&mut room).expect("it came"), 3);
+    tool.say("cut l").expect("it is there");
+    client.write_all(b"two").expect("written");
+    served.write_all(b"three").expect("written");
+    assert!(served.read(&mut room).is_err() && client.read(&mut room).is_err());
+    tool.say("heal l").expect("it is there");
+    assert_eq!(served.read(&mut room).expect("it came"), 3);
+    assert_eq!(client.read(&mut room).expect("it came"), 5);
+    assert!(tool.say("cut m").is_err());
+}
--- a/crates/ladderpass-fleet/src/truth.rs
+++ b/crates/ladderpass-fleet/src/truth.rs
@@ -18,9 +18,21 @@
     pub position: Time,
 }
 
+/// A call-out came to a member: what its data reached then, and whether it was turned away unseen.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Came {
+    pub at: Time,
+    pub member: u32,
+    pub id: Box<str>,
+    pub position: Time,
+    pub turned_away: bool,
+}
+
 #[derive(Debug, Default)]
 pub struct Truth {
     pub ran: Vec<Ran>,
+    /// Each call-out that came, where the scenario asks for its history.
+    pub came: Vec<Came>,
     /// Call-outs that were turned away unseen, and such as came too late to begin.
     pub turned_away: u64,
     pub over_before: u64,
