--- a/crates/ladderpass-fleet/src/scenario.rs
+++ b/crates/ladderpass-fleet/src/scenario.rs
@@ -94,7 +94,7 @@
         Ok(scenario)
     }
 
-    fn check(&self) -> Result<(), String> {
+    pub fn check(&self) -> Result<(), String> {
         let positive = |key: &str, value: f64| match value {
             value if value.is_finite() && value >= 0.0 => Ok(()),
             value => Err(format!("{key}: {value} is not a number from 0 on")),
--- /dev/null
+++ b/crates/ladderpass-lab/src/joint.rs
@@ -0,0 +1,405 @@
+//! The five rules over the joint history of all clients, routers and members: what clients were told, what passed at the
+//! fault tool beside each router, and what members saw.
+//!
+//! It owns how these accounts become events for the checkers, and what a client can't be owed: an answer of a router
+//! that was killed or stood still. It must never judge by a router's own words, nor excuse a router that runs.
+
+use crate::load::Entry;
+use ladderpass_core::{Span, Time};
+use ladderpass_faults::engine::Passed;
+use ladderpass_fleet::{Scenario, Truth};
+use ladderpass_rules::{
+    Answer, Checker, Cold, Drains, Effects, Event, Grace, OneAnswer, Stale, Violation, What,
+};
+use std::collections::{BTreeMap, HashMap};
+
+/// A time in which a router can't answer: from a kill to its next start, while it is frozen, or while its clients are cut
+/// off from it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Absence {
+    pub router: usize,
+    pub from: Time,
+    pub to: Time,
+    /// It was told to end: what it had taken by then is owed all the same.
+    pub planned: bool,
+}
+
+/// A router was told that a member wants nothing new.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Drained {
+    pub router: usize,
+    pub member: u32,
+    pub at: Time,
+}
+
+/// A member that starts cold, and what it bears.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Started {
+    pub at: Time,
+    pub member: u32,
+    pub capacity: f64,
+    pub cold_from: f64,
+    pub warm_within: Span,
+}
+
+pub struct History<'a> {
+    pub scenario: &'a Scenario,
+    /// By router: the links that it calls members by, as the tool numbers them.
+    pub links: &'a HashMap<usize, (usize, u32)>,
+    pub seed: u64,
+    pub journal: &'a [Entry],
+    pub passed: &'a [Passed],
+    /// The tool's start, from which `passed` counts.
+    pub tool_began: Time,
+    pub truth: &'a Truth,
+    pub absences: &'a [Absence],
+    pub drained: &'a [Drained],
+    pub started: &'a [Started],
+    pub grace: Grace,
+}
+
+/// After a router is back its clients may hear late answers of before.
+const BACK: Span = Span::from_millis(200);
+
+impl History<'_> {
+    fn number(&self, id: &str) -> Option<u64> {
+        let (seed, number) = id.split_once('-')?;
+        (u64::from_str_radix(seed, 16) == Ok(self.seed)).then_some(())?;
+        u64::from_str_radix(number, 16).ok()
+    }
+
+    /// All five rules. Events of one time stand in the order in which they are caused.
+    pub fn broken(&self) -> Vec<Violation> {
+        let mut broken = Vec::new();
+        broken.extend(run(self.of_clients(), OneAnswer::new(self.grace)));
+        broken.extend(run(self.of_effects(), Effects::default()));
+        let routers: std::collections::BTreeSet<usize> =
+            self.drained.iter().map(|drained| drained.router).collect();
+        for router in routers {
+            broken.extend(run(self.of_drains(router), Drains::new(self.grace)));
+        }
+        broken.extend(run(self.of_cold(None), Cold::default()));
+        broken.extend(run(self.of_reads(), Stale::new(self.grace)));
+        broken.extend(self.lies());
+        broken
+    }
+
+    /// Rule 4 over what a single router alone has sent.
+    pub fn cold_by(&self, router: usize) -> Vec<Violation> {
+        run(self.of_cold(Some(router)), Cold::default())
+    }
+
+    fn taken(&self, entry: &Entry) -> Event {
+        let method = self.scenario.methods.get(entry.method);
+        let bound = method.and_then(|method| method.max_age_ms).map(|ms| Span::from_secs_f64(ms / 1e3));
+        let once = method.is_some_and(|method| method.writes);
+        let what = What::Taken { rpc: entry.number, due: entry.until, once, bound };
+        Event { at: entry.sent, what }
+    }
+
+    /// Could its router not answer at some time while its client waited?
+    fn is_excused(&self, entry: &Entry) -> bool {
+        let ends = entry.answered.map(|(at, ..)| at).or(entry.lost).unwrap_or(Time::from_nanos(i64::MAX));
+        let until = ends.min(entry.until + self.grace.answer);
+        let meets = |absence: &&Absence| {
+            let after = !absence.planned || entry.sent >= absence.from;
+            absence.router == entry.router
+                && absence.from <= until
+                && entry.sent <= absence.to + BACK
+                && after
+        };
+        self.absences.iter().find(meets).is_some()
+    }
+
+    fn of_clients(&self) -> Vec<Event> {
+        let mut events = Vec::new();
+        for entry in self.journal {
+            let rpc = entry.number;
+            events.push(self.taken(entry));
+            let in_time = |at: Time| at <= entry.until + self.grace.answer;
+            let excused = self.is_excused(entry);
+            match entry.answered {
+                Some((at, answer, made_for)) if in_time(at) || !excused => {
+                    events.push(Event { at, what: What::Answered { rpc, answer, made_for } });
+                }
+                _ if excused => events.push(Event { at: entry.sent, what: What::Left { rpc } }),
+                _ => {}
+            }
+        }
+        // All have had their time.
+        let end = self.journal.iter().map(|entry| entry.until).max().unwrap_or_default();
+        events.push(Event { at: end + Span::from_millis(10_000), what: What::Left { rpc: u64::MAX } });
+        events
+    }
+
+    fn passings(&self) -> impl Iterator<Item = (Time, usize, u32, u64, bool)> {
+        self.passed.iter().filter_map(|passed| {
+            let &(router, member) = self.links.get(&passed.link)?;
+            let at = self.tool_began + (passed.at - Time::from_nanos(0));
+            Some((at, router, member, self.number(&passed.id)?, passed.begins))
+        })
+    }
+
+    fn of_effects(&self) -> Vec<Event> {
+        let mut events: Vec<Event> = self.journal.iter().map(|entry| self.taken(entry)).collect();
+        for (at, _, member, rpc, begins) in self.passings() {
+            let what =
+                if begins { What::CalledOut { rpc, member } } else { What::CallOutOver { rpc, member } };
+            events.push(Event { at, what });
+        }
+        for came in self.truth.came.iter().filter(|came| came.turned_away) {
+            let Some(rpc) = self.number(&came.id) else { continue };
+            events.push(Event { at: came.at, what: What::TurnedAway { rpc, member: came.member } });
+        }
+        for ran in &self.truth.ran {
+            let Some(rpc) = self.number(&ran.id) else { continue };
+            events.push(Event { at: ran.at, what: What::Ran { rpc, member: ran.member } });
+        }
+        events
+    }
+
+    fn of_drains(&self, router: usize) -> Vec<Event> {
+        let told = self.drained.iter().filter(|drained| drained.router == router);
+        let told =
+            told.map(|drained| Event { at: drained.at, what: What::Draining { member: drained.member } });
+        let own = self.passings().filter(|&(_, by, .., begins)| by == router && begins);
+        let own = own.map(|(at, _, member, rpc, _)| Event { at, what: What::CalledOut { rpc, member } });
+        told.chain(own).collect()
+    }
+
+    fn of_cold(&self, router: Option<usize>) -> Vec<Event> {
+        let started = self.started.iter().map(|started| {
+            let Started { member, capacity, cold_from, warm_within, .. } = *started;
+            Event { at: started.at, what: What::Started { member, capacity, cold_from, warm_within } }
+        });
+        let sent =
+            self.passings().filter(|&(_, by, .., begins)| begins && router.is_none_or(|one| one == by));
+        let sent = sent.map(|(at, _, member, rpc, _)| Event { at, what: What::CalledOut { rpc, member } });
+        started.chain(sent).collect()
+    }
+
+    /// A read counts as sent when it came to the member, whose data is looked at in that moment.
+    fn of_reads(&self) -> Vec<Event> {
+        let mut events: Vec<Event> = self.journal.iter().map(|entry| self.taken(entry)).collect();
+        for came in self.truth.came.iter().filter(|came| !came.turned_away) {
+            let Some(rpc) = self.number(&came.id) else { continue };
+            let (at, member, position) = (came.at, came.member, came.position);
+            events.push(Event { at, what: What::Reached { member, position } });
+            events.push(Event { at, what: What::CalledOut { rpc, member } });
+        }
+        events
+    }
+
+    /// Writes whose answer does not hold: ok though it never ran, pushed back though it did.
+    fn lies(&self) -> Vec<Violation> {
+        let ran: BTreeMap<u64, u32> =
+            self.truth.ran.iter().filter_map(|ran| Some((self.number(&ran.id)?, ran.member))).collect();
+        let mut broken = Vec::new();
+        for entry in self.journal {
+            let writes = self.scenario.methods.get(entry.method).is_some_and(|method| method.writes);
+            let Some((at, answer, made_for)) = entry.answered.filter(|_| writes) else { continue };
+            let (rpc, member) = (Some(entry.number), ran.get(&entry.number).copied());
+            let text = match (answer, member) {
+                (Answer::Ok, None) => "is answered ok and never ran",
+                (Answer::PushedBack, Some(_)) => "is pushed back and ran",
+                _ => continue,
+            };
+            let text = format!("write {:x} {text}", entry.number);
+            let what = What::Answered { rpc: entry.number, answer, made_for };
+            broken.push(Violation { rule: 2, rpc, member, text, proof: vec![Event { at, what }] });
+        }
+        broken
+    }
+}
+
+/// What is caused first stands first, where two have one time.
+fn order(what: &What) -> u8 {
+    match what {
+        What::Started { .. } | What::Draining { .. } | What::Serving { .. } | What::Primary { .. } => 0,
+        What::Taken { .. } => 1,
+        What::Reached { .. } => 2,
+        What::CalledOut { .. } => 3,
+        What::Ran { .. } => 4,
+        What::TurnedAway { .. } => 5,
+        What::CallOutOver { .. } => 6,
+        What::Answered { .. } => 7,
+        What::Left { .. } => 8,
+    }
+}
+
+fn run(mut events: Vec<Event>, mut checker: impl Checker) -> Vec<Violation> {
+    events.sort_by_key(|event| (event.at, order(&event.what)));
+    let mut broken = Vec::new();
+    events.iter().for_each(|event| checker.see(event, &mut broken));
+    checker.end(events.last().map_or(Time::default(), |event| event.at), &mut broken);
+    broken
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use ladderpass_fleet::truth::{Came, Ran};
+
+    fn at(ms: i64) -> Time {
+        Time::from_nanos(1_000_000_000_000 + ms * 1_000_000)
+    }
+
+    fn entry(number: u64, method: usize, sent: i64, answered: Option<(i64, Answer)>) -> Entry {
+        let answered =
+            answered.map(|(ms, answer)| (at(ms), answer, (answer == Answer::Ok).then_some(number)));
+        let until = at(sent) + Span::from_millis(1000);
+        Entry { number, router: 0, method, sent: at(sent), until, answered, lost: None }
+    }
+
+    struct World {
+        scenario: Scenario,
+        journal: Vec<Entry>,
+        passed: Vec<Passed>,
+        truth: Truth,
+        absences: Vec<Absence>,
+        drained: Vec<Drained>,
+        started: Vec<Started>,
+        links: HashMap<usize, (usize, u32)>,
+    }
+
+    impl World {
+        fn new() -> World {
+            World {
+                scenario: Scenario::default(),
+                journal: vec![entry(1, 0, 0, Some((10, Answer::Ok))), entry(2, 1, 5, Some((20, Answer::Ok)))],
+                passed: vec![],
+                truth: Truth::default(),
+                absences: vec![],
+                drained: vec![],
+                started: vec![],
+                links: (0..4).map(|link| (link, (link / 2, link as u32 % 2))).collect(),
+            }
+        }
+
+        fn pass(&mut self, ms: i64, link: usize, number: u64, begins: bool) {
+            let at = Time::from_nanos(ms * 1_000_000);
+            self.passed.push(Passed { at, link, id: format!("1-{number:x}"), begins });
+        }
+
+        fn ran(&mut self, ms: i64, member: u32, number: u64) {
+            let (at, id) = (at(ms), format!("1-{number:x}").into_boxed_str());
+            let came = Came { at, member, id: id.clone(), position: at, turned_away: false };
+            self.truth.came.push(came);
+            self.truth.ran.push(Ran { at, member, id, method: 1, writes: true, position: at });
+        }
+
+        fn rules(&self) -> Vec<u8> {
+            self.history().broken().iter().map(|violation| violation.rule).collect()
+        }
+
+        fn history(&self) -> History<'_> {
+            History {
+                scenario: &self.scenario,
+                links: &self.links,
+                seed: 1,
+                journal: &self.journal,
+                passed: &self.passed,
+                tool_began: at(0),
+                truth: &self.truth,
+                absences: &self.absences,
+                drained: &self.drained,
+                started: &self.started,
+                grace: Grace::default(),
+            }
+        }
+    }
+
+    #[test]
+    fn a_good_history_breaks_nothing_and_a_lost_answer_is_excused_of_a_killed_router_alone() {
+        let mut world = World::new();
+        world.pass(6, 0, 2, true);
+        world.ran(8, 0, 2);
+        world.pass(10, 0, 2, false);
+        assert_eq!(world.rules(), [0u8; 0]);
+        world.journal.push(Entry { lost: Some(at(300)), ..entry(3, 0, 200, None) });
+        assert_eq!(world.rules(), [1]);
+        world.absences.push(Absence { router: 1, from: at(290), to: at(900), planned: false });
+        assert_eq!(world.rules(), [1]);
+        let ended = Absence { router: 0, from: at(290), to: at(900), planned: true };
+        world.absences.push(ended);
+        assert_eq!(world.rules(), [1], "told to end, it answers what it has taken");
+        world.absences.push(Absence { planned: false, ..ended });
+        assert_eq!(world.rules(), [0u8; 0]);
+        // One that was sent when it was back is owed its answer.
+        world.journal.push(entry(4, 0, 1500, None));
+        assert_eq!(world.rules(), [1]);
+    }
+
+    #[test]
+    fn an_effect_twice_by_two_routers_is_found_and_one_turned_away_is_none() {
+        let mut world = World::new();
+        world.pass(6, 0, 2, true);
+        world.ran(7, 0, 2);
+        world.pass(8, 0, 2, false);
+        world.pass(9, 2, 2, true);
+        assert_eq!(world.rules(), [2]);
+        world.ran(10, 0, 2);
+        assert_eq!(world.rules(), [2, 2]);
+        let mut world = World::new();
+        world.pass(6, 0, 2, true);
+        let (id, position) = ("1-2".into(), at(7));
+        world.truth.came.push(Came { at: at(7), member: 0, id, position, turned_away: true });
+        world.pass(8, 0, 2, false);
+        world.pass(9, 2, 2, true);
+        world.ran(10, 0, 2);
+        assert_eq!(world.rules(), [0u8; 0]);
+        world.journal[1].answered = Some((at(20), Answer::PushedBack, None));
+        assert_eq!(world.rules(), [2]);
+    }
+
+    #[test]
+    fn a_drain_counts_from_when_each_router_was_told() {
+        let mut world = World::new();
+        world.ran(1, 0, 2);
+        world.drained = vec![Drained { router: 1, member: 1, at: at(100) }];
+        world.pass(500, 1, 1, true);
+        assert_eq!(world.rules(), [0u8; 0]);
+        world.pass(600, 3, 1, true);
+        // The same RPC goes out twice at once there, which is of another rule.
+        assert_eq!(world.rules(), [2, 3]);
+    }
+
+    #[test]
+    fn a_cold_member_is_pushed_over_by_the_sum_though_each_alone_keeps_its_ramp() {
+        let mut world = World::new();
+        world.ran(1, 0, 2);
+        let warm_within = Span::from_millis(10_000);
+        world.started = vec![Started { at: at(0), member: 1, capacity: 100.0, cold_from: 0.2, warm_within }];
+        for n in 0..40 {
+            let number = 100 + n as u64;
+            world.journal.push(entry(number, 0, n * 10, Some((n * 10 + 5, Answer::Ok))));
+            world.pass(n * 10, if n % 2 == 0 { 1 } else { 3 }, number, true);
+            world.pass(n * 10 + 5, if n % 2 == 0 { 1 } else { 3 }, number, false);
+        }
+        assert_eq!(world.rules(), [4]);
+        let history = world.history();
+        assert!(history.cold_by(0).is_empty() && history.cold_by(1).is_empty());
+    }
+
+    #[test]
+    fn a_stale_read_is_found_by_what_the_member_had() {
+        let mut world = World::new();
+        world.ran(1, 0, 2);
+        let came = |ms: i64, old: i64| Came {
+            at: at(ms),
+            member: 1,
+            id: "1-1".into(),
+            position: at(ms - old),
+            turned_away: false,
+        };
+        world.truth.came.push(came(5, 1900));
+        assert_eq!(world.rules(), [0u8; 0]);
+        world.truth.came.push(came(6, 2500));
+        // The best that it was known to have reached counts.
+        assert_eq!(world.rules(), [0u8; 0]);
+        world.truth.came = vec![came(6, 2500)];
+        world.truth.ran.clear();
+        world.journal.truncate(1);
+        assert_eq!(world.rules(), [5]);
+    }
+}
--- a/crates/ladderpass-lab/src/lib.rs
+++ b/crates/ladderpass-lab/src/lib.rs
@@ -5,6 +5,8 @@
 pub mod bed;
 pub mod chaos;
 pub mod charts;
+pub mod drill;
+pub mod joint;
 pub mod load;
 pub mod prove;
 pub mod results;
--- a/crates/ladderpass-lab/src/load.rs
+++ b/crates/ladderpass-lab/src/load.rs
@@ -19,6 +19,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -48,6 +49,8 @@
     pub seed: u64,
     /// What became of each RPC is kept, for a judge.
     pub journal: bool,
+    /// Ends it before its time.
+    pub stop: Option<Arc<AtomicBool>>,
 }
 
 /// A front before several routers: it deals clients out unevenly, and goes on dealing to a router that has ended until
@@ -141,6 +144,7 @@
             flood_depth: 64,
             seed: 1,
             journal: false,
+            stop: None,
         }
     }
 }
@@ -439,6 +443,9 @@
                 tell((at - self.began).secs());
                 self.give_up(at);
             }
+            if self.plan.stop.as_ref().is_some_and(|stop| stop.load(Ordering::Relaxed)) {
+                break;
+            }
             if at >= self.ends {
                 let waits = self.outstanding > 0 || !self.wants.is_empty() || !self.later.is_empty();
                 if !waits || at >= self.ends + self.plan.deadline + GRACE * 2.0 {
@@ -874,7 +881,7 @@
 /// A client apart from the load that asks nothing over and over: how long the router takes to come round.
 pub struct Prober {
     thread: std::thread::JoinHandle<Vec<(Time, Span)>>,
-    stop: std::sync::Arc<std::sync::atomic::AtomicBool>,
+    stop: Arc<AtomicBool>,
 }
 
 impl Prober {
@@ -886,14 +893,14 @@
         proto::put_startup(&mut out);
         stream.write_all(&out)?;
         until_ready(&mut stream)?;
-        let stop = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+        let stop = Arc::new(AtomicBool::new(false));
         let stopped = stop.clone();
         let thread = std::thread::spawn(move || {
             let mut delays = Vec::new();
             let mut nothing = Vec::new();
             proto::put_query(&mut nothing, "");
             let mut due = now();
-            while !stopped.load(std::sync::atomic::Ordering::Relaxed) {
+            while !stopped.load(Ordering::Relaxed) {
                 let done = stream.write_all(&nothing).and_then(|()| until_ready(&mut stream));
                 // From when it was due: a stall counts for all that would have been asked meanwhile.
                 let at = now();
@@ -916,7 +923,7 @@
 
     /// When each was due, and how long it took.
     pub fn stop(self) -> Vec<(Time, Span)> {
-        self.stop.store(true, std::sync::atomic::Ordering::Relaxed);
+        self.stop.store(true, Ordering::Relaxed);
         self.thread.join().unwrap_or_default()
     }
 }
--- a/crates/ladderpass-lab/src/main.rs
+++ b/crates/ladderpass-lab/src/main.rs
@@ -5,6 +5,7 @@
 use clap::{Args, Parser, Subcommand};
 use ladderpass_core::Span;
 use ladderpass_fleet::{Running, Scenario};
+use ladderpass_lab::drill::{self, Drill};
 use ladderpass_lab::{bed, chaos, load, prove, results, router};
 use std::net::Ipv4Addr;
 use std::path::PathBuf;
@@ -99,6 +100,28 @@
         #[arg(long, default_value = "target/prove")]
         out: PathBuf,
     },
+    /// Several routers before a fleet, with faults between all of them and deeds on them (docs/operators/membership.md)
+    Drill {
+        /// The drill: a YAML file
+        file: PathBuf,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// The routers' binary
+        #[arg(long, default_value = "target/release/ladderpass")]
+        router: PathBuf,
+        /// One of an earlier version, for `earlier`
+        #[arg(long)]
+        earlier: Option<PathBuf>,
+        /// One built with the feature `faulty`, for `faulty` and `clock_ms`
+        #[arg(long)]
+        faulty: Option<PathBuf>,
+        /// Where JSON lines and charts go
+        #[arg(long, value_name = "FOLDER")]
+        out: Option<PathBuf>,
+        /// Print the routers' logs
+        #[arg(long)]
+        loud: bool,
+    },
     /// Plans of faults drawn from a seed, until the time is over; what breaks a rule is shrunk and written as a plan
     Chaos {
         #[arg(long, default_value_t = 5.0)]
@@ -165,6 +188,29 @@
                 Err(fault) => Err(fault.to_string()),
             }
         }
+        Command::Drill { file, seed, router, earlier, faulty, out, loud } => {
+            let fault = |fault: String| format!("{}: {fault}", file.display());
+            let text = std::fs::read_to_string(&file).map_err(|error| fault(error.to_string()))?;
+            let drill = Drill::read(&text).map_err(fault)?;
+            let (faulty, earlier) = (faulty.as_deref(), earlier.as_deref());
+            let programs = drill::play::Programs { router: &router, faulty, earlier };
+            let played = drill::play::play(&drill, programs, seed).map_err(|fault| fault.to_string())?;
+            if loud {
+                for (nth, line) in
+                    played.logs.iter().enumerate().flat_map(|(n, log)| log.iter().map(move |l| (n, l)))
+                {
+                    println!("r{nth} {line}");
+                }
+            }
+            println!("{}", played.table(&drill));
+            if let Some(out) = out {
+                played.write(&drill, &out).map_err(|fault| format!("{}: {fault}", out.display()))?;
+            }
+            match played.violations.len() + played.fallen.len() {
+                0 => Ok(()),
+                count => Err(format!("{count} rules broken or routers fallen")),
+            }
+        }
         Command::Chaos { minutes, seed, router, out } => {
             let lasts = std::time::Duration::from_secs_f64((minutes * 60.0).clamp(0.0, 86_400.0));
             let tell = |seed: u64, broken: &[String]| {
--- a/crates/ladderpass-lab/src/prove/faults.rs
+++ b/crates/ladderpass-lab/src/prove/faults.rs
@@ -135,7 +135,7 @@
         // Replicas fall behind a bound that is shorter than the run.
         scenario.methods[0].max_age_ms = Some(200.0);
     }
-    let start = Start { faulty: switch, log: "warn".into(), ..Start::new(binary) };
+    let start = Start { faulty: switch.map(str::to_owned), log: "warn".into(), ..Start::new(binary) };
     let rules = row
         .plan
         .iter()
--- a/crates/ladderpass-lab/src/router.rs
+++ b/crates/ladderpass-lab/src/router.rs
@@ -27,7 +27,11 @@
     pub loud: bool,
     pub log: String,
     /// A switch of a router built to be faulty.
-    pub faulty: Option<&'static str>,
+    pub faulty: Option<String>,
+    /// How far its wall clock is off; a build for the lab alone has it.
+    pub clock_ms: i32,
+    /// Where it listens; an address of its own, if not said.
+    pub listen: Option<SocketAddr>,
 }
 
 impl Start {
@@ -40,6 +44,8 @@
             loud: false,
             log: "info".into(),
             faulty: None,
+            clock_ms: 0,
+            listen: None,
         }
     }
 }
@@ -53,7 +59,7 @@
 }
 
 /// An address of this process's own, so that no other run gets its port in between.
-fn own_address() -> io::Result<SocketAddr> {
+pub fn own_address() -> io::Result<SocketAddr> {
     static NEXT: AtomicU32 = AtomicU32::new(1);
     let (pid, nth) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
     let own = format!("127.{}.{}.{}:0", 1 + pid / 250 % 250, pid % 250, 1 + nth % 250);
@@ -81,16 +87,32 @@
         start: &Start,
         seed: u64,
     ) -> io::Result<Router> {
-        let address = own_address()?;
+        let mut router = Router::spawn(scenario, members, discovery, start, seed)?;
+        router.wait_until_it_serves()?;
+        Ok(router)
+    }
+
+    /// The same without waiting for it: several come up together.
+    pub fn spawn(
+        scenario: &Scenario,
+        members: &[SocketAddr],
+        discovery: SocketAddr,
+        start: &Start,
+        seed: u64,
+    ) -> io::Result<Router> {
+        let address = start.listen.map_or_else(own_address, Ok)?;
         let told = file(&scenario.told(ladderpass_fleet::now(), seed, &start.allowed, members), "json")?;
         let mut files = vec![told.clone()];
         let mut command = Command::new(&start.binary);
         command.env("RELAY_NAME", "lab").env("RELAY_LISTEN", address.to_string());
         command.env("RELAY_DISCOVERY", discovery.to_string()).env("RELAY_CONFIG", &told);
         command.env("RUST_LOG", &start.log).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
-        if let Some(switch) = start.faulty {
+        if let Some(switch) = &start.faulty {
             command.env("LADDERPASS_FAULTY", switch);
         }
+        if start.clock_ms != 0 {
+            command.env("LADDERPASS_CLOCK_MS", start.clock_ms.to_string());
+        }
         if let Some(text) = &start.operator {
             let operator = file(text, "yaml")?;
             command.arg("--operator").arg(&operator);
@@ -111,11 +133,10 @@
                 }
             })
         });
-        let mut router = Router { process, address, files, lines, reader };
+        let router = Router { process, address, files, lines, reader };
         if let Some(cpu) = start.cpu {
             pin(router.pid(), cpu)?;
         }
-        router.wait_until_it_serves()?;
         Ok(router)
     }
 
@@ -123,7 +144,7 @@
         Pid::from_raw(self.process.id() as i32)
     }
 
-    fn wait_until_it_serves(&mut self) -> io::Result<()> {
+    pub fn wait_until_it_serves(&mut self) -> io::Result<()> {
         let until = Instant::now() + Duration::from_secs(10);
         loop {
             if let Ok(mut stream) = TcpStream::connect(self.address) {
@@ -135,16 +156,26 @@
                 return crate::load::until_ready(&mut stream);
             }
             if let Some(status) = self.process.try_wait()? {
-                let lines = self.lines.lock().expect("no holder panics").join("; ");
-                return Err(io::Error::other(format!("the router ended with {status}: {lines}")));
+                return Err(io::Error::other(format!(
+                    "the router ended with {status}: {}",
+                    self.last_lines()
+                )));
             }
             if Instant::now() > until {
-                return Err(io::Error::other("the router does not listen"));
+                return Err(io::Error::other(format!("the router does not listen: {}", self.last_lines())));
             }
             std::thread::sleep(Duration::from_millis(5));
         }
     }
 
+    /// What it said last.
+    pub fn last_lines(&self) -> String {
+        // What it wrote before it ended may still be on its way.
+        std::thread::sleep(Duration::from_millis(20));
+        let lines = self.lines.lock().expect("no holder panics");
+        lines[lines.len().saturating_sub(5)..].join("; ")
+    }
+
     /// CPU time that it has used, in seconds, and its resident memory in bytes.
     pub fn used(&self) -> (f64, u64) {
         let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.process.id())).unwrap_or_default();
