--- a/crates/ladderpass-fleet/src/loopback.rs
+++ b/crates/ladderpass-fleet/src/loopback.rs
@@ -40,6 +40,8 @@
     scenario: Scenario,
     /// By discovery: what its list says.
     lists: Mutex<Vec<List>>,
+    /// When which list told that a member wants nothing new.
+    drained: Mutex<Vec<(Time, usize, u32)>>,
 }
 
 /// One list: where it says that members are, which of them want nothing new, and its generation.
@@ -143,6 +145,7 @@
             boxes: (0..count).map(|_| Mutex::new(Vec::new())).collect(),
             wakers,
             lists: Mutex::new(vec![list; discoveries.len()]),
+            drained: Mutex::default(),
             scenario,
         });
         let (mut orders, mut threads) = (Vec::new(), Vec::new());
@@ -204,9 +207,15 @@
                 list.generation += 1;
             }
             self.say(nth, &self.shared.line(nth, Some(member)));
+            self.shared.drained.lock().expect("no holder panics").push((now(), nth, member));
         }
     }
 
+    /// When which list told which member's drain.
+    pub fn drained(&self) -> Vec<(Time, usize, u32)> {
+        self.shared.drained.lock().expect("no holder panics").clone()
+    }
+
     /// A line as it is, for the watches of a list.
     pub fn say(&self, list: usize, line: &str) {
         self.order(|| Order::Line(list, line.to_owned()));
--- a/crates/ladderpass-lab/src/drill/report.rs
+++ b/crates/ladderpass-lab/src/drill/report.rs
@@ -5,7 +5,9 @@
 use super::Drill;
 use super::play::Played;
 use crate::charts::{self, Line};
-use ladderpass_core::Time;
+use crate::load::Counts;
+use ladderpass_core::{Span, Time};
+use ladderpass_rules::Answer;
 use std::io::{self, Write};
 use std::path::Path;
 
@@ -15,6 +17,27 @@
 }
 
 impl Played {
+    /// What became of the RPCs that were sent to these routers.
+    pub fn of(&self, drill: &Drill, routers: &[usize]) -> Counts {
+        let mut counts = Counts::default();
+        let grace = Span::from_millis(i64::from(drill.grace_ms));
+        for entry in self.outcome.journal.iter().filter(|entry| routers.contains(&entry.router)) {
+            counts.due += 1;
+            let soft = drill.scenario.methods.get(entry.method).map_or(0.0, |method| method.soft_deadline_ms);
+            match entry.answered {
+                Some((at, ..)) if at > entry.until + grace => counts.late += 1,
+                Some((at, Answer::Ok, _)) => {
+                    counts.ok += 1;
+                    counts.good += u64::from(at <= entry.sent + Span::from_secs_f64(soft / 1e3));
+                }
+                Some((_, Answer::PushedBack, _)) => counts.pushed_back += 1,
+                Some((_, Answer::Aborted, _)) => counts.aborted += 1,
+                None => counts.unanswered += 1,
+            }
+        }
+        counts
+    }
+
     /// How many routers each counts on, by time: the steps of its view.
     pub fn counts(&self, router: usize) -> Vec<(f64, f64)> {
         let mut points: Vec<(f64, f64)> = Vec::new();
--- a/crates/ladderpass-lab/src/joint.rs
+++ b/crates/ladderpass-lab/src/joint.rs
@@ -142,6 +142,15 @@
 
     fn of_effects(&self) -> Vec<Event> {
         let mut events: Vec<Event> = self.journal.iter().map(|entry| self.taken(entry)).collect();
+        if self.passed.is_empty() {
+            // Without the tool a call-out shows where it came to a member, and not when it was over for its router.
+            for came in self.truth.came.iter().filter(|came| !came.turned_away) {
+                let Some(rpc) = self.number(&came.id) else { continue };
+                let (at, member) = (came.at, came.member);
+                events.push(Event { at, what: What::CalledOut { rpc, member } });
+                events.push(Event { at, what: What::CallOutOver { rpc, member } });
+            }
+        }
         for (at, _, member, rpc, begins) in self.passings() {
             let what =
                 if begins { What::CalledOut { rpc, member } } else { What::CallOutOver { rpc, member } };
--- a/crates/ladderpass-lab/src/router.rs
+++ b/crates/ladderpass-lab/src/router.rs
@@ -56,6 +56,8 @@
     files: Vec<PathBuf>,
     pub lines: Arc<Mutex<Vec<String>>>,
     reader: Option<std::thread::JoinHandle<()>>,
+    /// When it was told to end.
+    told_to_end: Mutex<Option<ladderpass_core::Time>>,
 }
 
 /// An address of this process's own, so that no other run gets its port in between.
@@ -133,7 +135,7 @@
                 }
             })
         });
-        let router = Router { process, address, files, lines, reader };
+        let router = Router { process, address, files, lines, reader, told_to_end: Mutex::default() };
         if let Some(cpu) = start.cpu {
             pin(router.pid(), cpu)?;
         }
@@ -187,9 +189,16 @@
     }
 
     pub fn signal(&self, signal: Signal) -> io::Result<()> {
+        if signal == Signal::SIGTERM {
+            self.told_to_end.lock().expect("no holder panics").get_or_insert_with(ladderpass_fleet::now);
+        }
         Ok(kill(self.pid(), signal)?)
     }
 
+    pub fn told_to_end(&self) -> Option<ladderpass_core::Time> {
+        *self.told_to_end.lock().expect("no holder panics")
+    }
+
     /// Has it ended? With its exit code.
     pub fn ended(&mut self) -> Option<Option<i32>> {
         self.process.try_wait().ok().flatten().map(|status| status.code())
