--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,10 @@
 .PHONY: build test lint run lab prove chaos faulty earlier
 
 # The program that later ones are measured against, built beside this one from the history.
-EARLIER = 7137192
 NAME = overload
+EARLIER_membership = 03ef82b
+EARLIER = $(or $(EARLIER_$(NAME)),7137192)
+BEFORE = target/earlier/$(EARLIER)/ladderpass
 MINUTES = 5
 SEED = 1
 
@@ -24,10 +26,10 @@
 	cargo build --release --locked -p ladderpass-lab
 
 # make prove NAME=overload SEED=7: an issue's proof, one table, non-zero where it falls short.
-prove: lab $(if $(filter faults,$(NAME)),faulty)
+prove: lab $(if $(filter faults membership,$(NAME)),faulty)
 	target/release/ladderpass-lab prove $(NAME) --seed $(SEED) \
-		$(if $(wildcard target/earlier/ladderpass),--earlier target/earlier/ladderpass) \
-		$(if $(filter faults,$(NAME)),--faulty target/faulty/ladderpass)
+		$(if $(wildcard $(BEFORE)),--earlier $(BEFORE)) \
+		$(if $(filter faults membership,$(NAME)),--faulty target/faulty/ladderpass)
 
 # make chaos MINUTES=n: plans of faults drawn from SEED on; what breaks a rule is shrunk and written.
 chaos: lab
@@ -40,9 +42,9 @@
 	cp target/release/ladderpass target/faulty/ladderpass
 	cargo build --release --locked -p ladderpass
 
-# Builds the earlier program, so that `prove` measures beside it too.
+# Builds the earlier program, so that `prove` measures beside it too: make earlier NAME=membership.
 earlier:
-	mkdir -p target/earlier
-	test -d target/earlier/tree || git worktree add --force --detach target/earlier/tree $(EARLIER)
-	cd target/earlier/tree && cargo build --release --locked --target-dir ../build
-	cp target/earlier/build/release/ladderpass target/earlier/ladderpass
+	mkdir -p $(dir $(BEFORE))
+	test -d target/earlier/$(EARLIER)/tree || git worktree add --force --detach target/earlier/$(EARLIER)/tree $(EARLIER)
+	cd target/earlier/$(EARLIER)/tree && cargo build --release --locked --target-dir ../../build
+	cp target/earlier/build/release/ladderpass $(BEFORE)
--- a/crates/ladderpass-fleet/src/loopback.rs
+++ b/crates/ladderpass-fleet/src/loopback.rs
@@ -40,6 +40,8 @@
     scenario: Scenario,
     /// By discovery: what its list says.
     lists: Mutex<Vec<List>>,
+    /// When the fleet started, and its cold members with it.
+    started: Time,
     /// When which list told that a member wants nothing new.
     drained: Mutex<Vec<(Time, usize, u32)>>,
 }
@@ -78,7 +80,7 @@
     fn line(&self, list: usize, only: Option<u32>) -> String {
         let lists = self.lists.lock().expect("no holder panics");
         let Some(list) = lists.get(list) else { return String::new() };
-        let mut entries = self.scenario.entries(now(), &list.addresses);
+        let mut entries = self.scenario.entries(self.started, &list.addresses);
         for &member in &list.draining {
             if let Some(entry) = entries.get_mut(member as usize) {
                 entry["lifecycle"] = "DRAINING".into();
@@ -145,6 +147,7 @@
             boxes: (0..count).map(|_| Mutex::new(Vec::new())).collect(),
             wakers,
             lists: Mutex::new(vec![list; discoveries.len()]),
+            started: now(),
             drained: Mutex::default(),
             scenario,
         });
@@ -211,6 +214,10 @@
         }
     }
 
+    pub fn started(&self) -> Time {
+        self.shared.started
+    }
+
     /// When which list told which member's drain.
     pub fn drained(&self) -> Vec<(Time, usize, u32)> {
         self.shared.drained.lock().expect("no holder panics").clone()
--- a/crates/ladderpass-fleet/src/model.rs
+++ b/crates/ladderpass-fleet/src/model.rs
@@ -252,7 +252,12 @@
         let (primary, waiting) = (state.primary, state.waiting.len());
         let reply = match ask {
             Ask::Nothing => Reply::Nothing,
-            Ask::Load => Reply::Report { position, primary, waiting },
+            Ask::Load => {
+                if self.scenario.history {
+                    self.truth.probes.push((now, member));
+                }
+                Reply::Report { position, primary, waiting }
+            }
             Ask::Statement { id, method, wait, after } => {
                 let writes = self.scenario.methods.get(method as usize).is_some_and(|method| method.writes);
                 let refused = if writes && !primary {
--- a/crates/ladderpass-fleet/src/truth.rs
+++ b/crates/ladderpass-fleet/src/truth.rs
@@ -33,6 +33,8 @@
     pub ran: Vec<Ran>,
     /// Each call-out that came, where the scenario asks for its history.
     pub came: Vec<Came>,
+    /// Each probe that came to a member, likewise.
+    pub probes: Vec<(Time, u32)>,
     /// Call-outs that were turned away unseen, and such as came too late to begin.
     pub turned_away: u64,
     pub over_before: u64,
--- a/crates/ladderpass-lab/src/drill/mod.rs
+++ b/crates/ladderpass-lab/src/drill/mod.rs
@@ -35,6 +35,8 @@
     pub grace_ms: u32,
     /// How long the routers have to find each other before the load.
     pub settles_s: f64,
+    /// How long they rest after that.
+    pub rests_s: f64,
     /// RPCs a second that a member which starts cold bears once it is warm.
     pub bears: f64,
     pub scenario: Scenario,
@@ -67,6 +69,7 @@
             repeats: 0,
             grace_ms: 150,
             settles_s: 6.0,
+            rests_s: 0.0,
             bears: 1000.0,
             scenario: Scenario::default(),
             operator: String::new(),
@@ -188,6 +191,7 @@
             ("roaming", self.roaming, 0.0, 1.0),
             ("stays_s", self.stays_s, 0.05, 3600.0),
             ("settles_s", self.settles_s, 0.0, 60.0),
+            ("rests_s", self.rests_s, 0.0, 60.0),
             ("bears", self.bears, 1.0, 1e6),
             ("greedy", self.greedy, 0.0, 1e5),
         ] {
--- a/crates/ladderpass-lab/src/drill/play.rs
+++ b/crates/ladderpass-lab/src/drill/play.rs
@@ -123,6 +123,7 @@
     drill.check().map_err(io::Error::other)?;
     let mut stage = Stage::set(drill, programs, seed)?;
     let settled = stage.settle()?;
+    std::thread::sleep(Duration::from_secs_f64(drill.rests_s));
     let mesh = |stage: &Stage<'_>| stage.links.mesh.as_ref().map_or(Vec::new(), |mesh| mesh.sent());
     let sent_before = mesh(&stage);
     for nth in 0..drill.routers {
@@ -498,6 +499,7 @@
             .filter(|(_, (_, member))| (*member as usize) < members)
             .collect();
         let left = self.links.stop();
+        let fleet_started = self.fleet.started();
         let truth = self.fleet.stop();
         let started: Vec<Started> = self
             .drill
@@ -505,7 +507,7 @@
             .cold
             .iter()
             .map(|&member| Started {
-                at: outcome.began,
+                at: fleet_started,
                 member,
                 capacity: self.drill.bears,
                 cold_from: 0.2,
--- a/crates/ladderpass-lab/src/drill/report.rs
+++ b/crates/ladderpass-lab/src/drill/report.rs
@@ -136,6 +136,9 @@
                 writeln!(file, "{line}")?;
             }
         }
+        for (at, member) in &self.truth.probes {
+            writeln!(file, "{}", serde_json::json!({"at_s": secs(self, *at), "probed": member}))?;
+        }
         for violation in &self.violations {
             writeln!(file, "{}", serde_json::json!({"broken": violation.to_string()}))?;
         }
--- a/crates/ladderpass-lab/src/main.rs
+++ b/crates/ladderpass-lab/src/main.rs
@@ -83,7 +83,7 @@
     },
     /// An issue's proof: prints one table and ends non-zero where something falls short
     Prove {
-        /// Which: overload, faults
+        /// Which: overload, faults, membership
         name: String,
         #[arg(long, default_value_t = 1)]
         seed: u64,
@@ -180,7 +180,16 @@
                     prove::overload::prove(&router, earlier.as_deref(), seed, &out.join("overload"))
                 }
                 "faults" => prove::faults::prove(&router, faulty.as_deref(), seed),
-                other => return Err(format!("there is no proof {other:?}; there are overload and faults")),
+                "membership" => {
+                    let (faulty, earlier) = (faulty.as_deref(), earlier.as_deref());
+                    let programs = drill::play::Programs { router: &router, faulty, earlier };
+                    prove::membership::prove(programs, seed, &out.join("membership"))
+                }
+                other => {
+                    return Err(format!(
+                        "there is no proof {other:?}; there are overload, faults and membership"
+                    ));
+                }
             };
             match holds {
                 Ok(true) => Ok(()),
@@ -228,6 +237,9 @@
             for (seed, broken, path) in &found.broken {
                 println!("seed {seed}: {} in {}", broken.join("; "), path.display());
             }
+            if found.plans == 0 {
+                return Err("no plan was played".into());
+            }
             if found.broken.is_empty() { Ok(()) } else { Err("rules were broken".into()) }
         }
         Command::Cost { binaries, clients, seconds, pipeline, operator } => {
--- a/crates/ladderpass-lab/src/prove/faults.rs
+++ b/crates/ladderpass-lab/src/prove/faults.rs
@@ -95,7 +95,27 @@
     rules
 }
 
-fn play(row: &Row, binary: &Path, switch: Option<&'static str>, seed: u64) -> io::Result<(Vec<u8>, usize)> {
+/// What acts in a row on any router, and how often: its plan, else what the row does to the fleet.
+fn acted(row: &Row, seen: &Seen, decisions: usize) -> (usize, &'static str) {
+    let ran = |member| seen.truth.ran.iter().filter(|ran| ran.member == member).count();
+    match row {
+        Row { cold: Some(member), .. } => (ran(*member), "RPCs began at the cold member"),
+        Row { drains: Some(member), .. } => (ran(*member), "RPCs began at the member before its drain"),
+        Row { plan: [], .. } if row.log_ms > 100.0 => {
+            let spilt = seen.truth.ran.iter().filter(|ran| !ran.writes && ran.member == 0);
+            (spilt.count(), "reads went to the primary, replicas being too old")
+        }
+        Row { plan: [], .. } => (seen.outcome.total().ok as usize, "answers could have come twice"),
+        _ => (decisions, "times the plan acted"),
+    }
+}
+
+fn play(
+    row: &Row,
+    binary: &Path,
+    switch: Option<&'static str>,
+    seed: u64,
+) -> io::Result<(Vec<u8>, (usize, &'static str))> {
     let cold = row.cold.into_iter().collect();
     let mut scenario = Scenario { log_ms: row.log_ms, cold, ..Scenario::default() };
     if row.log_ms > 100.0 {
@@ -123,7 +143,8 @@
     }
     let (mut seen, left) = bed::run_through(&scenario, &start, &plan, Some(rules), deeds, |_| {})?;
     seen.bears = BEARS;
-    Ok((broken(&seen), left.map_or(0, |left| left.record.len())))
+    let decisions = left.map_or(0, |left| left.record.len());
+    Ok((broken(&seen), acted(row, &seen, decisions)))
 }
 
 /// One client asks a member one thing after the other through a link with a plan drawn from the seed.
@@ -196,9 +217,9 @@
 pub fn prove(binary: &Path, faulty: Option<&Path>, seed: u64) -> io::Result<bool> {
     let mut table = Table::new("faults");
     for row in &ROWS {
-        let (passes, hits) = play(row, binary, None, seed)?;
-        let fired = row.plan.is_empty() || hits > 0;
-        let told = format!("breaks {passes:?}, plan acted {hits} times");
+        let (passes, (hits, what)) = play(row, binary, None, seed)?;
+        let fired = hits > 0;
+        let told = format!("breaks {passes:?}; {hits} {what}");
         table.ask(
             format!("real router, plan for {}", row.switch),
             "breaks none",
--- a/crates/ladderpass/src/reducer/peers.rs
+++ b/crates/ladderpass/src/reducer/peers.rs
@@ -120,8 +120,9 @@
         }
         let moved =
             (view.me, view.count, view.digest) != (peers.view.me, peers.view.count, peers.view.digest);
+        let came_or_went = changes.iter().any(|(_, change)| *change != Change::Suspected);
         peers.view = view;
-        if moved {
+        if moved || came_or_went {
             tracing::info!(
                 "fleet: view {:08x} of {}, this is {}{}",
                 view.digest,
