--- a/crates/ladderpass-faults/tests/mesh.rs
+++ b/crates/ladderpass-faults/tests/mesh.rs
@@ -78,3 +78,39 @@
     assert_eq!(client.read(&mut room).expect("it came"), 5);
     assert!(tool.say("cut m").is_err());
 }
+
+#[test]
+fn two_thousand_connections_are_refused_at_once_and_the_next_one_passes() {
+    let server = TcpListener::bind("127.0.0.1:0").expect("loopback");
+    let to = server.local_addr().expect("bound");
+    let text = format!(
+        "{{links: [{{name: l, listen: '127.0.0.1:0', to: '{to}', talk: raw}}], \
+         rules: [{{name: r, when: {{opens: true}}, do: refuse, times: 2000}}]}}"
+    );
+    let tool = Running::start(Plan::read(&text).expect("allowed"), None).expect("it starts");
+    let address = tool.addresses[0];
+    let refused: usize = std::thread::scope(|scope| {
+        let crowds: Vec<_> = (0..20)
+            .map(|_| {
+                scope.spawn(move || {
+                    // One that is reset before it is up is refused as well.
+                    let streams: Vec<_> = (0..100).map(|_| TcpStream::connect(address)).collect();
+                    let is_refused = |stream: std::io::Result<TcpStream>| {
+                        let Ok(mut stream) = stream else { return true };
+                        stream.set_read_timeout(Some(Duration::from_secs(10))).expect("a time-out");
+                        let ended = stream.read(&mut [0; 8]);
+                        matches!(ended, Ok(0))
+                            || ended.is_err_and(|fault| fault.kind() == std::io::ErrorKind::ConnectionReset)
+                    };
+                    streams.into_iter().map(is_refused).filter(|&refused| refused).count()
+                })
+            })
+            .collect();
+        crowds.into_iter().map(|crowd| crowd.join().expect("no thread panics")).sum()
+    });
+    assert_eq!(refused, 2000);
+    let mut client = TcpStream::connect(address).expect("it listens");
+    client.write_all(b"one").expect("written");
+    let (mut served, _) = server.accept().expect("it leads on");
+    assert_eq!(served.read(&mut [0; 8]).expect("it came"), 3);
+}
--- /dev/null
+++ b/crates/ladderpass/tests/drills.rs
@@ -0,0 +1,132 @@
+//! Several processes of the program, with faults between them: what the others believe of one that dies, stands still,
+//! is heard by none or starts anew, and what a drill does when it can't go on. What is asked for holds on any machine,
+//! however slow.
+
+use ladderpass_lab::drill::Drill;
+use ladderpass_lab::drill::play::{Played, Programs, play};
+use std::path::Path;
+use std::sync::{Mutex, MutexGuard};
+
+static ALONE: Mutex<()> = Mutex::new(());
+
+fn alone() -> MutexGuard<'static, ()> {
+    ALONE.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
+fn programs() -> Programs<'static> {
+    Programs { router: Path::new(env!("CARGO_BIN_EXE_ladderpass")), faulty: None, earlier: None }
+}
+
+/// Answers may be late on a slow machine: who is answered, and that no rule breaks, is what is asked for.
+fn played(text: &str) -> (Drill, Played) {
+    let mut drill = Drill::read(text).unwrap_or_else(|fault| panic!("{fault}"));
+    (drill.grace_ms, drill.deadline_ms, drill.settles_s) = (2000, 2000, 20.0);
+    let played = play(&drill, programs(), 1).unwrap_or_else(|fault| panic!("{fault}"));
+    let told: Vec<String> = played.violations.iter().map(ToString::to_string).collect();
+    assert_eq!(told, Vec::<String>::new());
+    assert_eq!(played.fallen, Vec::<String>::new());
+    (drill, played)
+}
+
+/// What a router said of another, in its order.
+fn said(played: &Played, viewer: usize, of: usize) -> Vec<&str> {
+    let names = played.views[viewer].iter().flat_map(|view| &view.names);
+    names.filter(|(who, _)| *who == played.addresses[of]).map(|(_, what)| what.as_str()).collect()
+}
+
+fn assert_agreed(played: &Played, count: usize) {
+    let last: Vec<_> = (0..played.views.len())
+        .filter(|&nth| played.alive[nth])
+        .map(|nth| played.views[nth].last().map(|view| (view.digest, view.count)))
+        .collect();
+    assert!(last.iter().all(|view| *view == last[0]), "{last:?}");
+    assert_eq!(last[0].map(|(_, count)| count), Some(count));
+}
+
+#[test]
+fn one_is_killed_and_started_again_and_one_stands_still() {
+    let _alone = alone();
+    let (_, played) = played(
+        "{routers: 5, phases: [[10, 60]], clients: 40, deeds: [{at: 0.5, kill: [r1]}, {at: 0.5, freeze: [r2], for: 4}, {at: 5, start: [r1]}]}",
+    );
+    assert!(played.settled.is_some());
+    for viewer in [0, 3, 4] {
+        assert!(said(&played, viewer, 1).ends_with(&["died", "is back"]), "{:?}", said(&played, viewer, 1));
+        assert!(said(&played, viewer, 2).ends_with(&["died", "is back"]), "{:?}", said(&played, viewer, 2));
+    }
+    assert_agreed(&played, 5);
+}
+
+/// SIGTERM is said, so nobody has to find it.
+#[test]
+fn one_that_ends_says_so_and_its_clients_go_elsewhere() {
+    let _alone = alone();
+    let (_, played) = played("{routers: 4, phases: [[4, 60]], clients: 40, deeds: [{at: 1, term: [r3]}]}");
+    let told: Vec<_> = (0..3).map(|viewer| said(&played, viewer, 3).last().copied()).collect();
+    assert!(told.contains(&Some("left")), "{told:?}");
+    assert!(!played.alive[3]);
+    assert_agreed(&played, 3);
+}
+
+/// Both sides reach all members: each goes on by itself, and no rule breaks in either.
+#[test]
+fn a_split_leaves_two_fleets_that_become_one_again() {
+    let _alone = alone();
+    let (_, played) = played(
+        "{routers: 5, phases: [[12, 60]], clients: 40, deeds: [{at: 0.5, split: [[r0, r1], [r2, r3, r4]], for: 6}]}",
+    );
+    let least =
+        |router: usize| played.views[router].iter().skip_while(|view| view.count < 5).map(|v| v.count).min();
+    assert_eq!((least(0), least(4)), (Some(2), Some(3)));
+    assert_agreed(&played, 5);
+}
+
+/// One router by itself, cut off from members: it answers its clients all the same.
+#[test]
+fn one_that_is_cut_off_from_all_still_answers() {
+    let _alone = alone();
+    let (drill, played) = played(
+        "{routers: 3, phases: [[5, 60]], clients: 40, roaming: 0, deeds: [{at: 1, split: [[r2], [r0, r1, member-0, member-1, member-2, discovery]], for: 3}]}",
+    );
+    let cut_off = played.of(&drill, &[2]);
+    assert_eq!((cut_off.unanswered, cut_off.late), (0, 0), "{cut_off:?}");
+    assert!(cut_off.pushed_back + cut_off.aborted > 0, "the cut did nothing: {cut_off:?}");
+}
+
+#[test]
+fn datagrams_lost_doubled_late_and_overtaken_change_no_view() {
+    let _alone = alone();
+    let (_, played) = played(
+        "{routers: 4, phases: [[6, 60]], clients: 40, deeds: [\
+         {at: 0.2, datagrams: {name: lost, part: 0.15, do: drop}}, \
+         {at: 0.2, datagrams: {name: twice, part: 0.3, do: {duplicate: {ms: 30}}}}, \
+         {at: 0.2, datagrams: {name: late, part: 0.2, do: {delay: {ms: 40, spread: exponential}}}}, \
+         {at: 0.2, datagrams: {name: overtaken, part: 0.3, do: {reorder: {ms: 60}}}}]}",
+    );
+    assert!(played.datagram_hits.iter().all(|(_, hits)| *hits > 10), "{:?}", played.datagram_hits);
+    assert_agreed(&played, 4);
+}
+
+/// Forty processes in the same second, on as many cores as there are.
+#[test]
+fn forty_started_at_once_find_each_other() {
+    let _alone = alone();
+    let (_, played) = played("{routers: 40, phases: [[1, 40]], clients: 40, roaming: 0}");
+    assert!(
+        played.settled.is_some(),
+        "{:?}",
+        played.views.iter().map(|v| v.last().map(|v| v.count)).collect::<Vec<_>>()
+    );
+    assert_agreed(&played, 40);
+}
+
+#[test]
+fn a_router_that_does_not_start_is_told_with_its_last_lines() {
+    let _alone = alone();
+    let drill = Drill::read("{routers: 2, operator: 'colour: red'}").expect("allowed");
+    let fault = play(&drill, programs(), 1).err().expect("it can't start").to_string();
+    assert!(fault.contains("colour"), "{fault}");
+    let drill = Drill::read("{routers: 2, deeds: [{at: 0.2, start: [r1]}], faulty: {r1: resends}}");
+    let fault = play(&drill.expect("allowed"), programs(), 1).err().expect("there is no such program");
+    assert!(fault.to_string().contains("r1 needs --faulty"), "{fault}");
+}
--- a/crates/ladderpass/tests/faults.rs
+++ b/crates/ladderpass/tests/faults.rs
@@ -122,6 +122,83 @@
     play(7, &rules, deeds);
 }
 
+#[test]
+fn a_cut_inside_a_length_field_is_no_answer() {
+    let _alone = alone();
+    // Behind the kind of a message stand four bytes of length: cut after one, two and three of them.
+    let rules = [
+        "{name: one, when: {message: RowDescription, nth: 30}, do: {truncate: {keep: 2}}, times: 4}",
+        "{name: two, when: {message: DataRow, nth: 60}, do: {truncate: {keep: 3}}, times: 4}",
+        "{name: three, when: {message: CommandComplete, nth: 90}, do: {truncate: {keep: 4}}, times: 4}",
+    ];
+    let (seen, left) = play(8, &rules, vec![]);
+    assert_eq!(left.record.len(), 12);
+    let reads = seen.outcome.of(0);
+    assert!(reads.ok * 100 > reads.due * 95, "reads go elsewhere: {reads:?}");
+}
+
+#[test]
+fn a_watch_that_goes_back_a_generation_is_not_believed() {
+    let _alone = alone();
+    // The drain is told first, in generation 2; then comes an older list, in which all serve.
+    let old = "{\"generation\": 1, \"reset\": false, \"instances\": [{\"instanceId\": \"m-0-1\", \"hostPort\": \"127.0.0.1:1\", \
+               \"zone\": \"a\", \"machineType\": \"k\", \"cell\": 0, \"lifecycle\": \"SERVING\", \"weight\": 1.0, \
+               \"startedAtMs\": 0, \"role\": \"follower\"}]}\n";
+    let deeds: Vec<Deed<'_>> =
+        vec![(0.5, Box::new(|_, fleet| fleet.drain(1))), (0.9, Box::new(move |_, fleet| fleet.say(0, old)))];
+    // Rule 3 is judged over all that passes: the drain holds whatever the old list says.
+    let (seen, _) = play(9, &[], deeds);
+    let after = seen.outcome.began + Span::from_millis(1000);
+    assert!(!seen.truth.ran.iter().any(|ran| ran.member == 1 && ran.at > after), "its drain was undone");
+    assert!(seen.log.iter().any(|line| line.contains("the list: ")), "{:?}", seen.log);
+}
+
+#[test]
+fn silence_past_every_bound_is_noticed_and_asked_about_anew() {
+    let _alone = alone();
+    let rules = [
+        "{name: watch, link: discovery, when: {message: Chunk, nth: 2}, do: silence}",
+        "{name: member, link: member-2, when: {message: ReadyForQuery, nth: 30}, do: silence, times: 20}",
+    ]
+    .map(|rule| Rule::read(rule).unwrap_or_else(|fault| panic!("{fault}")));
+    let start = Start::new(Path::new(env!("CARGO_BIN_EXE_ladderpass")));
+    let plan =
+        Plan { connections: 60, pipeline: 1, deadline: Span::from_millis(2000), ..open(10, &[(7.0, 60.0)]) };
+    let (seen, left) =
+        bed::run_through(&Scenario::default(), &start, &plan, Some(rules.to_vec()), vec![], |_| {})
+            .unwrap_or_else(|fault| panic!("{fault}"));
+    assert_eq!(seen.broken(Span::from_millis(4000)), Vec::<String>::new());
+    assert_eq!(left.expect("it ran").never_fired, Vec::<String>::new());
+    // Discovery is heard of every second: 4.5 s without a sign end the watch.
+    assert!(seen.log.iter().any(|line| line.contains("the list: ")), "{:?}", seen.log);
+    let last = seen.counts(6.0, 6.9);
+    assert!(last.ok * 100 >= last.due * 95, "{last:?}");
+}
+
+#[test]
+fn faults_during_sigterm_lose_nothing_that_was_taken() {
+    let _alone = alone();
+    let rules = [
+        "{name: late, when: {after_ms: 500, message: RowDescription}, do: {delay: {ms: 150}}, times: 0}",
+        "{name: reset, when: {after_ms: 900, message: DataRow, nth: 20}, do: reset, times: 10}",
+    ]
+    .map(|rule| Rule::read(rule).unwrap_or_else(|fault| panic!("{fault}")));
+    let start = Start::new(Path::new(env!("CARGO_BIN_EXE_ladderpass")));
+    let plan = Plan {
+        connections: 200,
+        pipeline: 1,
+        deadline: Span::from_millis(2000),
+        ..open(11, &[(2.0, 200.0)])
+    };
+    let deeds: Vec<Deed<'_>> =
+        vec![(0.8, Box::new(|router, _| router.signal(Signal::SIGTERM).expect("it runs")))];
+    let (seen, _) =
+        bed::run_through(&Scenario::default(), &start, &plan, Some(rules.to_vec()), deeds, |_| {})
+            .unwrap_or_else(|fault| panic!("{fault}"));
+    assert_eq!(seen.broken(Span::from_millis(4000)), Vec::<String>::new());
+    assert_eq!(seen.ended, Some(Some(0)), "{:?}", seen.log.last());
+}
+
 #[test]
 fn the_same_seed_draws_the_same_plan_and_whatever_it_is_no_rule_breaks() {
     let _alone = alone();
--- /dev/null
+++ b/crates/ladderpass/tests/interrupted.rs
@@ -0,0 +1,43 @@
+//! A drill that is cut off by ctrl-C leaves no process. It stands alone: the signal is the whole process's.
+
+use ladderpass_lab::drill::Drill;
+use ladderpass_lab::drill::play::{Programs, interrupted, play};
+use nix::sys::signal::{Signal, kill};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+/// Processes that this one has started and that have not ended.
+fn children() -> Vec<String> {
+    let own = std::process::id().to_string();
+    let processes = std::fs::read_dir("/proc").expect("it can be read").filter_map(Result::ok);
+    let stats = processes.filter_map(|entry| std::fs::read_to_string(entry.path().join("stat")).ok());
+    stats
+        .filter(|stat| {
+            let after = stat.rsplit_once(')').map_or("", |(_, after)| after);
+            let mut fields = after.split_whitespace();
+            fields.next() != Some("Z") && fields.next() == Some(&own)
+        })
+        .collect()
+}
+
+#[test]
+fn ctrl_c_ends_a_drill_and_all_its_processes() {
+    interrupted();
+    let drill = Drill::read("{routers: 4, phases: [[60, 40]], clients: 20}").expect("allowed");
+    let program = Path::new(env!("CARGO_BIN_EXE_ladderpass"));
+    let began = Instant::now();
+    let run = std::thread::spawn(move || {
+        let programs = Programs { router: program, faulty: None, earlier: None };
+        play(&drill, programs, 1).err().map(|fault| fault.kind())
+    });
+    while children().len() < 4 {
+        assert!(began.elapsed() < Duration::from_secs(30), "the routers did not start");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    std::thread::sleep(Duration::from_secs(1));
+    kill(nix::unistd::Pid::this(), Signal::SIGINT).expect("it is this process");
+    let ended = run.join().expect("it does not panic");
+    assert_eq!(ended, Some(std::io::ErrorKind::Interrupted));
+    assert_eq!(children(), Vec::<String>::new());
+    assert!(began.elapsed() < Duration::from_secs(40));
+}
