make prove NAME=overload finds its calm load: judged by what is answered, not by an idle core

Checked: the closed load serves 73,000 RPCs a second on that core at 13 us each; at 33,000 that come one by one each takes 28 us, as a turn of the loop then takes one RPC, not sixteen. So 'a tenth of the core idle' (is_calm in prove/overload.rs) measured how RPCs are batched. Out; the steps are now parts of what the router serves at most in the same run, so that three times the calm load is 1.05 to 1.3 of it.

--- a/crates/ladderpass-lab/src/load.rs
+++ b/crates/ladderpass-lab/src/load.rs
@@ -365,7 +365,7 @@
             began,
             lasted: spans,
             behind: Span::ZERO,
-            journal: Vec::new(),
+            journal: Vec::with_capacity(expected(plan)),
         },
         began,
         ends: began + spans,
@@ -376,6 +376,16 @@
     Ok(load.outcome)
 }
 
+/// RPCs that a journal will hold: one that grows by copying would hold the load up for as long as that takes.
+fn expected(plan: &Plan) -> usize {
+    let phases = match &plan.pace {
+        Pace::Open(phases) if plan.journal => phases.as_slice(),
+        _ => &[],
+    };
+    let due: f64 = phases.iter().map(|(span, rate)| span.secs() * rate).sum();
+    (due * 1.2).min(5e6) as usize
+}
+
 impl Load<'_> {
     fn play(&mut self, tell: &mut impl FnMut(f64)) -> io::Result<()> {
         let kinds = [
--- a/crates/ladderpass-lab/src/prove/overload.rs
+++ b/crates/ladderpass-lab/src/prove/overload.rs
@@ -13,6 +13,7 @@
 /// Multiples of the calm load at which goodput is measured.
 const STEPS: [f64; 5] = [0.5, 1.0, 2.0, 3.0, 5.0];
 const BESIDE: [f64; 3] = [0.5, 1.0, 5.0];
+const CALM_PARTS: [f64; 3] = [0.35, 0.39, 0.43];
 /// A router meets each load after so long at a half of the calm one, with its connections open.
 const WARM: f64 = 0.3;
 /// All of what may be refused is, so that what refusing costs can be measured alone.
@@ -54,13 +55,12 @@
     seen.cpu / (WARM * 0.5 + 0.5)
 }
 
-/// Is the router calm at this rate? It refuses nothing, answers in time, comes round quickly, and has a tenth of its core
-/// to spare.
+/// Is the router calm at this rate? It refuses nothing, answers in time, and comes round quickly. What of its core is idle
+/// says nothing of that: with little to do it takes RPCs one by one, at twice the CPU of those taken in batches, so that
+/// a core is all but busy at half of what it serves at most.
 fn is_calm(seen: &Seen) -> bool {
     let total = seen.counts(WARM, WARM + 0.5);
-    total.good as f64 >= 0.999 * total.due as f64
-        && seen.delay_ms(0.99, WARM, WARM + 0.5) < 5.0
-        && core_used(seen) < 0.9
+    total.good as f64 >= 0.999 * total.due as f64 && seen.delay_ms(0.99, WARM, WARM + 0.5) < 5.0
 }
 
 pub fn prove(binary: &Path, earlier: Option<&Path>, seed: u64, out: &Path) -> io::Result<bool> {
@@ -104,9 +104,10 @@
     let (no, ..) = cost(&scenario, &start(binary, Some(REFUSES_ALL)), 64, 1, 0.3, seed)?;
     table.tell("  and clients with a single one out", format!("{no:.1} us for {one:.1} us: {:.2}", no / one));
 
-    // The load that it serves when calm, found by steps of what it serves at most.
+    // The load that it serves when calm, found by steps of what it serves at most in this run: three times the last one
+    // is a third more than that, and three times the first one a little.
     let mut calm = 0.0;
-    'steps: for part in [0.45, 0.55, 0.65, 0.75, 0.85] {
+    'steps: for part in CALM_PARTS {
         let phases = [(WARM, most * part * 0.5), (0.5, most * part)];
         // Two of three, as another process of the machine may come in between.
         let (mut held, mut failed) = (0, 0);
