--- /dev/null
+++ b/crates/ladderpass-concert/src/word.rs
@@ -0,0 +1,146 @@
+//! The form of what a router tells of one group: some forty bytes, amounts by their logarithm (within 4%).
+//!
+//! It owns the form alone. What can't be read is dropped from there on. It must never weigh a word.
+
+use ladderpass_core::Span;
+
+/// What one router asked of a group, and met there, over the last second.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Word {
+    /// The router, by a number that all know it by.
+    pub who: u32,
+    /// Higher is newer, around the clock.
+    pub number: u16,
+    /// How old it is when it is told.
+    pub age: Span,
+    pub group: u32,
+    /// RPCs a second that came, by rank, the highest first.
+    pub asked: Vec<(u8, f64)>,
+    /// RPCs a second that were served, and that were let in and could be sent nowhere.
+    pub served: f64,
+    pub unsent: f64,
+    /// What it believes that the group can be given, RPCs a second.
+    pub admits: f64,
+    pub members: Vec<Told>,
+}
+
+/// What it met at one member.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Told {
+    pub mark: u16,
+    /// In flight on average; answer time over the usual one; what it believes that all may have in flight there.
+    pub in_flight: f64,
+    pub stretch: f64,
+    pub room: f64,
+}
+
+const LEAST: f64 = 0.01;
+const STEP: f64 = 1.065;
+const AGE_STEP: Span = Span::from_millis(50);
+const RANKS: usize = 6;
+const MEMBERS: usize = 8;
+
+fn pack(value: f64) -> u8 {
+    if value < LEAST {
+        return 0;
+    }
+    (1.0 + ((value / LEAST).ln() / STEP.ln()).round()).clamp(1.0, 255.0) as u8
+}
+
+fn unpack(byte: u8) -> f64 {
+    if byte == 0 { 0.0 } else { LEAST * STEP.powi(i32::from(byte) - 1) }
+}
+
+/// Appends it, where it has room.
+pub fn write(word: &Word, bytes: &mut Vec<u8>, most: usize) -> bool {
+    let (ranks, members) = (word.asked.len().min(RANKS), word.members.len().min(MEMBERS));
+    if bytes.len() + 4 + 2 + 1 + 4 + 1 + 2 * ranks + 3 + 5 * members > most {
+        return false;
+    }
+    bytes.extend(word.who.to_be_bytes());
+    bytes.extend(word.number.to_be_bytes());
+    bytes.push((word.age.nanos() / AGE_STEP.nanos()).clamp(0, 255) as u8);
+    bytes.extend(word.group.to_be_bytes());
+    bytes.push((ranks << 4 | members) as u8);
+    for (rank, rate) in &word.asked[..ranks] {
+        bytes.extend([*rank, pack(*rate)]);
+    }
+    bytes.extend([pack(word.served), pack(word.unsent), pack(word.admits)]);
+    for told in &word.members[..members] {
+        bytes.extend(told.mark.to_be_bytes());
+        bytes.extend([pack(told.in_flight), pack(told.stretch), pack(told.room)]);
+    }
+    true
+}
+
+fn take<const N: usize>(rest: &mut &[u8]) -> Option<[u8; N]> {
+    let (head, tail) = rest.split_first_chunk::<N>()?;
+    *rest = tail;
+    Some(*head)
+}
+
+fn one(rest: &mut &[u8]) -> Option<Word> {
+    let who = u32::from_be_bytes(take(rest)?);
+    let number = u16::from_be_bytes(take(rest)?);
+    let [age] = take(rest)?;
+    let group = u32::from_be_bytes(take(rest)?);
+    let [counts] = take(rest)?;
+    let mut asked = Vec::new();
+    for _ in 0..counts >> 4 {
+        let [rank, rate] = take(rest)?;
+        asked.push((rank, unpack(rate)));
+    }
+    let [served, unsent, admits] = take(rest)?;
+    let mut members = Vec::new();
+    for _ in 0..counts & 15 {
+        let mark = u16::from_be_bytes(take(rest)?);
+        let [in_flight, stretch, room] = take(rest)?;
+        let (in_flight, stretch, room) = (unpack(in_flight), unpack(stretch), unpack(room));
+        members.push(Told { mark, in_flight, stretch, room });
+    }
+    let age = AGE_STEP * f64::from(age);
+    let (served, unsent, admits) = (unpack(served), unpack(unsent), unpack(admits));
+    Some(Word { who, number, age, group, asked, served, unsent, admits, members })
+}
+
+pub fn read(bytes: &[u8]) -> Vec<Word> {
+    let mut rest = bytes;
+    std::iter::from_fn(|| one(&mut rest)).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn word() -> Word {
+        let told = |mark| Told { mark, in_flight: 2.5, stretch: 1.4, room: 6.0 };
+        Word {
+            who: 0xdead_beef,
+            number: 65_535,
+            age: Span::from_millis(150),
+            group: 3,
+            asked: vec![(200, 75.0), (190, 0.5)],
+            served: 300.0,
+            unsent: 0.0,
+            admits: 310.0,
+            members: vec![told(1), told(700)],
+        }
+    }
+
+    #[test]
+    fn it_comes_back_within_its_steps_and_cut_it_is_dropped() {
+        let mut bytes = Vec::new();
+        assert!(write(&word(), &mut bytes, 200) && write(&word(), &mut bytes, 200));
+        let full = bytes.len() + 20;
+        assert!(!write(&word(), &mut bytes, full));
+        let back = read(&bytes);
+        assert_eq!(back.len(), 2);
+        let near = |one: f64, two: f64| (one - two).abs() <= 0.04 * one + 1e-9;
+        assert!(back[0].asked.iter().zip(&word().asked).all(|(a, b)| a.0 == b.0 && near(a.1, b.1)));
+        assert!(near(back[0].served, 300.0) && back[0].unsent == 0.0 && near(back[0].members[1].room, 6.0));
+        assert_eq!((back[0].who, back[0].number, back[0].age), (0xdead_beef, 65_535, word().age));
+        for length in 0..bytes.len() {
+            assert!(read(&bytes[..length]).len() < 2);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ladderpass-concert/tests/model.rs
@@ -0,0 +1,288 @@
+//! Fleets of routers in simulated steps before members that answer slower the more they have: the same code, its words
+//! late and lost. No sockets: a step is 250 ms, a member's answer time follows what is in flight there.
+
+use ladderpass_concert::{Concert, Faulty, Seen, lot};
+use ladderpass_core::{MemberId, Span, Time};
+use nanorand::{Rng, WyRand};
+
+const STEP: Span = Span::from_millis(250);
+const HIGH: u32 = 200;
+const LOW: u32 = 190;
+
+struct World {
+    now: Time,
+    routers: Vec<Concert>,
+    /// RPCs a second of each: of the high rank, and of the low one.
+    load: Vec<(f64, f64)>,
+    alive: Vec<bool>,
+    /// What the members serve a second, all together, and how many there are.
+    serves: f64,
+    members: u32,
+    chance: WyRand,
+    loss: f64,
+    cut: usize,
+    limits: Vec<Vec<f64>>,
+    /// Served of the high rank and of all, in the last step, as parts of what was asked and of what could be.
+    high: f64,
+    used: f64,
+}
+
+impl World {
+    fn new(seed: u64, load: Vec<(f64, f64)>, serves: f64, faulty: impl Fn(usize) -> Faulty) -> World {
+        let now = Time::from_nanos(1_800_000_000_000_000_000);
+        let count = load.len();
+        let mut world = World {
+            now,
+            routers: (0..count).map(|nth| Concert::start(now, nth as u32 + 1, faulty(nth))).collect(),
+            alive: vec![true; count],
+            serves,
+            members: 3,
+            chance: WyRand::new_seed(seed),
+            loss: 0.0,
+            cut: 0,
+            limits: vec![vec![2.0; 3]; count],
+            load,
+            high: 0.0,
+            used: 0.0,
+        };
+        world.meet();
+        world
+    }
+
+    /// A whole number with this mean.
+    fn draw(&mut self, mean: f64) -> usize {
+        mean.max(0.0).floor() as usize + usize::from(self.chance.generate::<f64>() < mean.fract())
+    }
+
+    fn meet(&mut self) {
+        for nth in 0..self.routers.len() {
+            let reaches = |other: usize| {
+                other != nth && self.alive[other] && (self.cut == 0 || (other < self.cut) == (nth < self.cut))
+            };
+            let others: Vec<u32> = (0..self.routers.len())
+                .filter(|&other| reaches(other))
+                .map(|other| other as u32 + 1)
+                .collect();
+            self.routers[nth].lives(others.into_iter());
+        }
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + STEP;
+        let count = self.routers.len();
+        let secs = STEP.secs();
+        let living: Vec<usize> = (0..count).filter(|&nth| self.alive[nth]).collect();
+        // What each lets in, by the floor; the members serve the high rank first, as much as they can of all.
+        let mut let_in = vec![(0.0, 0.0); count];
+        let mut held = 0.0;
+        for &nth in &living {
+            let (floor, _) = self.routers[nth].floor(7);
+            let part = |rank: u32| (1.0 - (floor - f64::from(rank))).clamp(0.0, 1.0);
+            let (high, low) = self.load[nth];
+            let (high, low) = (self.draw(high * secs), self.draw(low * secs));
+            (0..high).for_each(|_| self.routers[nth].asked(7, HIGH));
+            (0..low).for_each(|_| self.routers[nth].asked(7, LOW));
+            let_in[nth] = (high as f64 * part(HIGH), low as f64 * part(LOW));
+            held += self.limits[nth].iter().sum::<f64>();
+        }
+        let (high, low) = let_in.iter().fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+        let room = self.serves * secs;
+        let served_high = high.min(room);
+        let served_low = low.min(room - served_high);
+        // In flight: as much as the limits let, where there is more than is served; then answers are slow.
+        let over = (high + low) / room;
+        let cores = f64::from(self.members) * 2.0;
+        let in_flight = if over > 1.0 { held.min(cores * 4.0 * over) } else { cores * over };
+        let stretch = (in_flight / cores).max(1.0);
+        let asked_high: f64 =
+            (0..count).filter(|&n| self.alive[n]).map(|n| self.load[n].0).sum::<f64>() * secs;
+        self.high = if asked_high > 0.0 { served_high / asked_high } else { 1.0 };
+        self.used = (served_high + served_low) / room;
+        for &nth in &living {
+            let mine =
+                (let_in[nth].0 * served_high / high.max(1e-9), let_in[nth].1 * served_low / low.max(1e-9));
+            let served = self.draw(mine.0 + mine.1);
+            (0..served).for_each(|_| self.routers[nth].served(7));
+            let missing = self.draw(let_in[nth].0 + let_in[nth].1 - mine.0 - mine.1);
+            (0..missing).for_each(|_| self.routers[nth].unsent(7));
+            let part = (let_in[nth].0 + let_in[nth].1) / (high + low).max(1e-9);
+            let seen: Vec<Seen> = (0..self.members)
+                .map(|member| Seen {
+                    member: MemberId(member),
+                    mark: member + 10,
+                    group: 7,
+                    stretch,
+                    in_flight: in_flight * part / f64::from(self.members),
+                })
+                .collect();
+            if let Some(facts) = self.routers[nth].tend(self.now, &seen) {
+                self.limits[nth] = facts.limits.iter().map(|(_, limit)| *limit).collect();
+            }
+        }
+        // Each tells two others by chance, as questions and answers carry it.
+        for &nth in &living {
+            let bytes = self.routers[nth].tell(self.now, 210);
+            for _ in 0..2 {
+                let other = self.chance.generate_range(0..count);
+                let lost = self.chance.generate::<f64>() < self.loss;
+                let apart = self.cut > 0 && (other < self.cut) != (nth < self.cut);
+                if other != nth && self.alive[other] && !lost && !apart {
+                    self.routers[other].heard(self.now, &bytes);
+                }
+            }
+        }
+    }
+
+    fn run(&mut self, steps: usize) {
+        (0..steps).for_each(|_| self.step());
+    }
+
+    /// Means of the last steps: of the high rank served, and of what the members can.
+    fn over(&mut self, steps: usize) -> (f64, f64) {
+        let (mut high, mut used) = (0.0, 0.0);
+        for _ in 0..steps {
+            self.step();
+            high += self.high / steps as f64;
+            used += self.used / steps as f64;
+        }
+        (high, used)
+    }
+
+    fn floors(&self) -> Vec<f64> {
+        (0..self.routers.len()).filter(|&n| self.alive[n]).map(|n| self.routers[n].floor(7).0).collect()
+    }
+}
+
+/// Unevenly spread, at 2.5 times what can be served, a tenth of it of the high rank.
+fn uneven(count: usize, serves: f64) -> Vec<(f64, f64)> {
+    let parts: f64 = (1..=count).map(|nth| nth as f64).sum();
+    let total = serves * 2.5;
+    (1..=count).map(|nth| (total * 0.1 * nth as f64 / parts, total * 0.9 * nth as f64 / parts)).collect()
+}
+
+fn spread(floors: &[f64]) -> f64 {
+    let most = floors.iter().copied().fold(0.0, f64::max);
+    most - floors.iter().copied().fold(f64::MAX, f64::min)
+}
+
+#[test]
+fn three_hundred_come_to_one_floor_and_stay_there() {
+    for loss in [0.0, 0.2] {
+        let mut world = World::new(1, uneven(300, 3000.0), 3000.0, |_| Faulty::Nowhere);
+        world.loss = loss;
+        world.run(40);
+        let (high, used) = world.over(20);
+        let floors = world.floors();
+        println!(
+            "model: 300, loss {loss}: high {high:.3}, used {used:.3}, floors within {:.2}",
+            spread(&floors)
+        );
+        assert!(high > 0.99 && used > 0.93, "{high} {used}");
+        assert!(spread(&floors) < 1.0, "{floors:?}");
+        assert!(floors.iter().all(|&floor| floor > f64::from(LOW) && floor < f64::from(HIGH)), "{floors:?}");
+    }
+}
+
+#[test]
+fn a_step_of_load_is_answered_within_seconds_and_let_go_of() {
+    let mut world = World::new(2, uneven(8, 300.0), 300.0, |_| Faulty::Nowhere);
+    let heavy = world.load.clone();
+    world.load.iter_mut().for_each(|load| *load = (load.0 * 0.2, load.1 * 0.2));
+    world.run(20);
+    assert_eq!(world.floors(), vec![0.0; 8]);
+    world.load = heavy.clone();
+    world.run(8);
+    let (high, used) = world.over(8);
+    println!("model: 2 s after a step: high {high:.3}, used {used:.3}");
+    assert!(high > 0.97 && used > 0.9, "{high} {used}");
+    world.load = heavy.iter().map(|load| (load.0 * 0.2, load.1 * 0.2)).collect();
+    world.run(8);
+    assert_eq!(world.floors(), vec![0.0; 8]);
+}
+
+#[test]
+fn a_third_killed_and_a_split_leave_the_members_used_and_not_over_filled() {
+    let mut world = World::new(3, uneven(12, 300.0), 300.0, |_| Faulty::Nowhere);
+    world.run(30);
+    (0..4).for_each(|nth| world.alive[nth * 3] = false);
+    // Their clients go to the others.
+    let lost: f64 = (0..4).map(|nth| world.load[nth * 3].0 + world.load[nth * 3].1).sum();
+    let more = 1.0 + lost / (750.0 - lost);
+    world.load.iter_mut().for_each(|load| *load = (load.0 * more, load.1 * more));
+    world.run(6);
+    world.meet();
+    let (high, used) = world.over(8);
+    println!("model: after a third died: high {high:.3}, used {used:.3}");
+    assert!(high > 0.98 && used > 0.93, "{high} {used}");
+    world.cut = 6;
+    world.run(6);
+    world.meet();
+    let (high, used) = world.over(30);
+    println!("model: in a split: high {high:.3}, used {used:.3}");
+    assert!(high > 0.97 && used > 0.93, "{high} {used}");
+    world.cut = 0;
+    world.meet();
+    world.run(8);
+    let (high, used) = world.over(10);
+    assert!(high > 0.98 && used > 0.93, "{high} {used}");
+}
+
+#[test]
+fn a_liar_shuts_nobody_out_and_is_bounded() {
+    let faulty = |nth| if nth == 7 { Faulty::TellsTenfold } else { Faulty::Nowhere };
+    let mut world = World::new(4, uneven(8, 300.0), 300.0, faulty);
+    world.run(40);
+    let (high, used) = world.over(20);
+    let bounded: usize = world.routers[0].figures().map(|figures| figures.bounded).sum();
+    println!("model: a liar: high {high:.3}, used {used:.3}, bounded {bounded}");
+    assert!(high > 0.97 && used > 0.9 && bounded > 0, "{high} {used} {bounded}");
+}
+
+#[test]
+fn the_deads_words_fade_and_those_of_strangers_are_not_heard() {
+    let mut world = World::new(5, uneven(4, 300.0), 300.0, |_| Faulty::Nowhere);
+    world.run(20);
+    let words = |world: &World| world.routers[0].figures().map(|figures| figures.words).sum::<usize>();
+    assert_eq!(words(&world), 3);
+    world.alive[3] = false;
+    // Nobody tells of the death: the words fade all the same.
+    world.run(20);
+    assert_eq!(words(&world), 2);
+    let bytes = world.routers[1].tell(world.now, 210);
+    let mut stranger = Concert::start(world.now, 99, Faulty::Nowhere);
+    stranger.heard(world.now, &bytes);
+    assert_eq!(stranger.figures().count(), 0);
+    stranger.asked(7, LOW);
+    stranger.tend(world.now + STEP * 2.0, &[]);
+    assert_eq!(stranger.figures().map(|figures| figures.words).sum::<usize>(), 0);
+}
+
+#[test]
+fn one_that_hears_nobody_any_more_takes_no_more_than_its_part() {
+    let mut world = World::new(6, uneven(4, 300.0), 300.0, |_| Faulty::Nowhere);
+    world.run(30);
+    let part = |world: &World| world.routers[0].figures().map(|figures| figures.part).sum::<f64>();
+    let before = part(&world);
+    world.loss = 1.0;
+    world.run(40);
+    assert!(part(&world) <= before * 1.2, "{} of {before}", part(&world));
+}
+
+#[test]
+fn a_groups_floor_is_its_own() {
+    let mut world = World::new(7, uneven(4, 300.0), 300.0, |_| Faulty::Nowhere);
+    world.run(30);
+    world.routers[0].asked(8, LOW);
+    world.run(4);
+    assert!(world.routers[0].floor(7).0 > 0.0);
+    assert_eq!(world.routers[0].floor(8), (0.0, 0.0));
+}
+
+#[test]
+fn all_draw_the_same_lot_for_a_session_and_another_in_another_epoch() {
+    let now = Time::from_nanos(1_800_000_000_000_000_000);
+    assert_eq!(lot(b"k7", now), lot(b"k7", now + Span::from_millis(200)));
+    assert_ne!(lot(b"k7", now), lot(b"k7", now + Span::from_millis(20_000)));
+    let mean: f64 = (0..1000).map(|nth| lot(format!("k{nth}").as_bytes(), now)).sum::<f64>() / 1000.0;
+    assert!((0.45..0.55).contains(&mean), "{mean}");
+}
