All routers shed as one: floor and rooms reckoned together enter the core as facts

Seen on the way, by the figures of each router: the parts of reads that routers take from a crowded member (regulate) left members idle while RPCs were pushed back unsent (served 211 of 300 with 230 unsent): room_is sets the part.

--- a/crates/ladderpass-benchlink/src/wire.rs
+++ b/crates/ladderpass-benchlink/src/wire.rs
@@ -280,6 +280,8 @@
             group: group_index(&mut self.groups, group),
             due,
             strain: None,
+            fleet: None,
+            lot: None,
             resent: line.resent.unwrap_or(false),
             session: line.session.as_ref().map(|key| self.sessions.intern(key)),
             last_write: line
--- a/crates/ladderpass-concert/src/concert.rs
+++ b/crates/ladderpass-concert/src/concert.rs
@@ -19,13 +19,22 @@
 const ROOM_START: f64 = 8.0;
 const ROOM_LEAST: f64 = 1.0;
 const ROOM_MOST: f64 = 4096.0;
+/// Answers may be so many times as long as usual before a room shrinks: a member with nothing waiting is not full.
+const SLOW: f64 = 1.6;
 /// A step of a room goes this part of the way.
 const ROOM_STEP: f64 = 0.3;
 /// This router's part may grow by this much a step.
 const PART_GROWTH: f64 = 1.3;
-/// What is let in: more by this much a step while all of it is served; of what was served, where some was not.
-const ADMIT_GROWTH: f64 = 1.12;
-const ADMIT_OVER: f64 = 1.02;
+/// What is let in: of what is served when a floor is first needed; by a step while some of it finds no room, or much.
+const FIRST_OVER: f64 = 1.4;
+const FADES: f64 = 0.985;
+const FALL: f64 = 0.985;
+const FALL_FAR: f64 = 0.97;
+const FAR_OVER: f64 = 0.15;
+/// After so many steps in which all was served: more by this part, doubled each time, up to the last.
+const PATIENCE: u32 = 2;
+const RISE: f64 = 0.01;
+const RISE_MOST: f64 = 0.05;
 /// This part of what is let in may find no room before the floor rises.
 const UNSENT: f64 = 0.03;
 /// Heard of so many others, or of half of them, a router knows what its part is.
@@ -103,6 +112,10 @@
     now: Counted,
     last: Counted,
     admits: f64,
+    /// Steps since something that was let in found no room.
+    calm: u32,
+    /// The most that was served of late.
+    peak: f64,
     floor: f64,
     pressure: f64,
     /// By mark of a member: this router's own account of it, and what all may have in flight there.
@@ -117,6 +130,8 @@
             now: Counted::default(),
             last: Counted::default(),
             admits: 0.0,
+            calm: 0,
+            peak: 0.0,
             floor: 0.0,
             pressure: 0.0,
             members: BTreeMap::new(),
@@ -165,8 +180,10 @@
         }
     }
 
+    /// Before it has heard of anyone a router takes the part of one among equals.
     fn group(&mut self, group: u32) -> &mut Group {
-        self.groups.entry(group).or_insert_with(Group::new)
+        let part = 1.0 / (self.alive.len() as f64 + 1.0);
+        self.groups.entry(group).or_insert_with(|| Group { part, ..Group::new() })
     }
 
     /// Others that are alive.
@@ -367,7 +384,7 @@
             let stretch = slow / (in_flight + LITTLE * rooms.len() as f64);
             let before = (own.room + (median(&mut rooms) - own.room) * TOGETHER).max(ROOM_LEAST);
             // Shortest answer time over the present one, and a little more to find out whether there is room.
-            let wanted = before / stretch.max(1.0) + before.sqrt();
+            let wanted = before * (SLOW / stretch.max(SLOW)) + before.sqrt();
             let used = in_flight * scale * 2.0 >= before;
             let step = if wanted < before || used { (wanted - before) * ROOM_STEP } else { 0.0 };
             own.room = (before + step).clamp(ROOM_LEAST, ROOM_MOST);
@@ -391,15 +408,29 @@
         self.groups.insert(key, group);
     }
 
-    /// What the group is given: a little more than it serves.
+    /// What the group is given: a little more than it was seen to serve while it was full. What finds no room is told half a
+    /// client's time late, so that a quick hand would swing: down by small steps while it is told, up only once it has not
+    /// been told for a while, and then ever faster.
     fn admit(&self, group: &mut Group, told: f64, asked: f64, served: f64, unsent: f64) {
-        // Where nothing is refused, nothing is known of a bound: all that comes is let in.
-        let before = if group.floor > 0.0 { told } else { asked * 1.2 + 1.0 };
+        let bound = group.floor > 0.0;
+        let before = if bound { told } else { asked * 1.2 + 1.0 };
         let over = unsent > UNSENT * before.min(asked).max(1.0);
-        let more = before * ADMIT_GROWTH + 1.0;
-        let wanted = if over { (served * ADMIT_OVER).min(more) } else { more };
+        group.calm = if over { 0 } else { group.calm.saturating_add(1) };
+        group.peak = served.max(group.peak * FADES);
+        let wanted = match (over, bound) {
+            (true, false) => group.peak * FIRST_OVER,
+            (true, true) => {
+                let far = unsent > FAR_OVER * before;
+                group.peak.max(before * if far { FALL_FAR } else { FALL })
+            }
+            (false, true) if group.calm <= PATIENCE => before,
+            (false, _) => {
+                let steps = group.calm.saturating_sub(PATIENCE).min(8);
+                before * (1.0 + (RISE * f64::from(1u32 << steps)).min(RISE_MOST)) + 0.5
+            }
+        };
         // Nothing is gained by a floor that nobody stands under.
-        group.admits = wanted.clamp(served * 0.5, (asked * 1.2).max(served) + 1.0);
+        group.admits = wanted.min(asked * 1.2 + 1.0);
     }
 
     pub fn figures(&self) -> impl Iterator<Item = Figures> {
--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -111,7 +111,7 @@
     rows: Vec<Row>,
     started: Time,
     chance: WyRand,
-    fleet: Fleet,
+    pub(crate) fleet: Fleet,
     rpcs: Slots,
     sessions: Sessions,
     taken: Ring<8>,
@@ -152,13 +152,13 @@
             false => self.sessions.written(arrival.session),
         };
         self.taken.add(now, 1.0);
-        let luck = self.chance.generate();
+        let luck = arrival.lot.unwrap_or_else(|| self.chance.generate());
         let rpc = self.rpcs.open(now, arrival, written, luck);
-        // Refused before all else where the front itself has no room for it.
-        if let Some(strain) = arrival.strain.filter(|strain| strain.floor > 0.0)
-            && f64::from(self.rank(now, &arrival, &strain)) + luck < strain.floor
-        {
-            return (rpc, self.shed(rpc, strain.pressure));
+        // Refused before all else where the front itself, or the fleet, has no room for it.
+        for strain in [arrival.strain, arrival.fleet].into_iter().flatten().filter(|s| s.floor > 0.0) {
+            if f64::from(self.rank(now, &arrival, &strain)) + luck < strain.floor {
+                return (rpc, self.shed(rpc, strain.pressure));
+            }
         }
         let first = self.fleet.reach_group(arrival.group).held.is_empty();
         (rpc, if first { self.place(now, rpc) } else { self.hold(rpc) })
@@ -433,7 +433,7 @@
         sent < member.answered && now - sent > self.rows[method as usize].usual * LOST
     }
 
-    fn in_flight(&self, now: Time, member: &Member) -> f64 {
+    pub(crate) fn in_flight(&self, now: Time, member: &Member) -> f64 {
         // None younger can be lost: those are not looked at.
         let old = self.least_usual() * LOST;
         let old = member.out.iter().take_while(|&&(sent, _)| now - sent > old && sent < member.answered);
@@ -442,7 +442,7 @@
     }
 
     /// Present answer time over the usual one; where few answers tell, those of its kind of machine stand in.
-    fn stretch(&self, now: Time, member: &Member, back: usize) -> f64 {
+    pub(crate) fn stretch(&self, now: Time, member: &Member, back: usize) -> f64 {
         let (count, sum) = member.stretch.last(now, back);
         let pace = self.fleet.paces.get(member.kind as usize).map_or((0.0, 0.0), |p| p.last(now, back));
         let pace = (pace.1 + 4.0) / (pace.0 + 3.0) * self.crowding(now, member);
--- a/crates/ladderpass-core/src/interface.rs
+++ b/crates/ladderpass-core/src/interface.rs
@@ -169,6 +169,10 @@
     pub last_write: Option<Span>,
     /// None: the front does not watch itself.
     pub strain: Option<Strain>,
+    /// What all routers together refuse; None: they don't tell each other.
+    pub fleet: Option<Strain>,
+    /// Drawn for its session by all routers alike, from 0 to 1: the smaller, the sooner it is refused.
+    pub lot: Option<f64>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -281,9 +285,41 @@
     pub wake: Option<Time>,
 }
 
+/// What a router sees of a member by itself: answer time over the usual one, and RPCs in flight.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SeenOf {
+    pub member: MemberId,
+    pub mark: u32,
+    pub group: u32,
+    pub stretch: f64,
+    pub in_flight: f64,
+}
+
 impl crate::decide::Router {
     /// How many routers there are by now, and which of them this is.
     pub fn among(&mut self, me: u32, routers: u32) {
         (self.deployment.me, self.deployment.routers) = (me, routers);
     }
+
+    /// What this router sees of each member, for what all reckon together.
+    pub fn seen(&self, now: Time) -> impl Iterator<Item = SeenOf> {
+        self.fleet.members.iter().flatten().filter(|member| member.standing == Standing::On).map(
+            move |member| SeenOf {
+                member: member.id,
+                mark: member.mark,
+                group: member.group as u32,
+                stretch: self.stretch(now, member, 2),
+                in_flight: self.in_flight(now, member),
+            },
+        )
+    }
+
+    /// This router's part of what all may have in flight at a member. It stands for the part of reads that routers with
+    /// little traffic take from a crowded member, each by itself: both together would leave the member idle.
+    pub fn room_is(&mut self, member: MemberId, limit: f64) {
+        if self.fleet.knows(member) {
+            let member = self.fleet.member_mut(member.0 as usize);
+            (member.limit, member.part) = (limit, 1.0);
+        }
+    }
 }
--- a/crates/ladderpass-core/tests/common/mod.rs
+++ b/crates/ladderpass-core/tests/common/mod.rs
@@ -64,6 +64,8 @@
         session: None,
         last_write: None,
         strain: None,
+        fleet: None,
+        lot: None,
     }
 }
 
--- a/crates/ladderpass-deployment/src/operator.rs
+++ b/crates/ladderpass-deployment/src/operator.rs
@@ -17,6 +17,8 @@
     pub overload: Option<Settings>,
     /// None: routers tell each other nothing.
     pub peers: Option<Peers>,
+    /// Overload is answered by all routers as one.
+    pub fleet: bool,
     /// What the list says of zones and sizes is used: the zone of this router, and whether weights are sizes.
     pub zone: Option<String>,
     pub sizes: bool,
@@ -57,6 +59,7 @@
     log: Option<LogShape>,
     overload: Option<OverloadShape>,
     peers: Option<PeersShape>,
+    fleet: Option<FleetShape>,
     members: Option<MembersShape>,
 }
 
@@ -71,6 +74,12 @@
     all: Option<Vec<Spanned<String>>>,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FleetShape {
+    sheds: Spanned<bool>,
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct MembersShape {
@@ -139,6 +148,13 @@
         _ => None,
     };
     operator.peers = shape.peers.map(peers).transpose()?;
+    if let Some(fleet) = shape.fleet {
+        if fleet.sheds.value && operator.peers.is_none() {
+            let text = "true without peers; allowed is it together with peers";
+            return Err(at(&fleet.sheds, "fleet.sheds", text));
+        }
+        operator.fleet = fleet.sheds.value;
+    }
     if let Some(members) = shape.members {
         if let Some(zone) = members.zone.as_ref().filter(|zone| zone.value.trim().is_empty()) {
             return Err(at(zone, "members.zone", "empty; allowed is the name of a zone of the list"));
@@ -389,6 +405,8 @@
                 ["line 3", "peers.networks", "bits"],
             ),
             ("peers:\n  listen: 10.0.0.1:7400\n  colour: red", ["line", "colour", "listen"]),
+            ("fleet:\n  sheds: true", ["line 2", "fleet.sheds", "peers"]),
+            ("fleet:\n  sheds: 3", ["line 2", "sheds", "bool"]),
             ("members:\n  zone: ''", ["line 2", "members.zone", "name of a zone"]),
             ("members:\n  sizes: big", ["line 2", "sizes", "bool"]),
         ] {
--- a/crates/ladderpass-membership/src/detector.rs
+++ b/crates/ladderpass-membership/src/detector.rs
@@ -91,6 +91,7 @@
 /// What is under way and can be made to grow by others is bounded.
 const ERRANDS: usize = 256;
 const RUMOURS: usize = 4096;
+const LOADS: usize = 64;
 /// A program of before counts as there for so long after its last word.
 const EARLIER: Span = Span::from_millis(60_000);
 /// A router that stood still for this part of a round or more doubts itself.
@@ -126,6 +127,14 @@
     counts: Counts,
     /// A word on itself that only another process with this address can have said.
     double: bool,
+    /// What goes along with questions and answers, and what came so.
+    load: Vec<u8>,
+    loads: Vec<Vec<u8>>,
+}
+
+/// A number that stands for a router, the same for all.
+pub fn number_of(who: SocketAddr) -> u32 {
+    hash(who, 1)
 }
 
 impl Membership {
@@ -168,6 +177,8 @@
             changes: Vec::new(),
             counts: Counts::default(),
             double: false,
+            load: Vec::new(),
+            loads: Vec::new(),
         }
     }
 
@@ -227,6 +238,16 @@
         self.counts
     }
 
+    /// What goes along with each question and answer from now on, where it has room.
+    pub fn carry(&mut self, load: Vec<u8>) {
+        self.load = load;
+    }
+
+    /// What came along from routers that are alive.
+    pub fn loads(&mut self) -> Vec<Vec<u8>> {
+        std::mem::take(&mut self.loads)
+    }
+
     /// How much this router doubts itself: 0 not at all, up to 8.
     pub fn health(&self) -> u32 {
         self.health
@@ -267,6 +288,9 @@
         } else {
             self.take(now, &message.own);
         }
+        if !message.load.is_empty() && self.table.is_alive(from) && self.loads.len() < LOADS {
+            self.loads.push(message.load.clone());
+        }
         let about = message.words.first().copied();
         let proxied = matches!(message.kind, Kind::AskFor | Kind::AnswerFor | Kind::Nothing);
         // What it says of itself stands in front.
@@ -712,7 +736,14 @@
         let digest = self.table.digest(self.incarnation);
         let doubted = to.and_then(|to| self.table.word(to)).filter(|word| word.state != State::Alive);
         words.extend(doubted);
-        let mut message = Message { kind, number, digest, own: self.own_word(), words };
+        let load = match kind {
+            Kind::Ask | Kind::Answer => self.load.clone(),
+            _ => Vec::new(),
+        };
+        let mut message = Message { kind, number, digest, own: self.own_word(), words, load };
+        if message.length() > self.settings.bytes {
+            message.load.clear();
+        }
         let mut room = self.settings.bytes.saturating_sub(message.length());
         let often = self.often();
         let mut news: Vec<(u32, SocketAddr)> = self.rumours.iter().map(|(&who, &told)| (told, who)).collect();
--- a/crates/ladderpass-membership/src/lib.rs
+++ b/crates/ladderpass-membership/src/lib.rs
@@ -11,7 +11,7 @@
 mod settings;
 mod table;
 
-pub use detector::{Counts, Membership, Own, View};
+pub use detector::{Counts, Membership, Own, View, number_of};
 pub use message::{FIRST, Incarnation};
 pub use settings::{Faulty, Settings};
 pub use table::{Change, Peer, State, Sure};
--- a/crates/ladderpass-membership/src/message.rs
+++ b/crates/ladderpass-membership/src/message.rs
@@ -87,8 +87,12 @@
     pub digest: u32,
     pub own: Word,
     pub words: Vec<Word>,
+    /// What another part of the program tells along with a question or an answer.
+    pub load: Vec<u8>,
 }
 
+/// Stands before a load: no word begins so.
+const LOAD: u8 = 1 << 7;
 const HEAD: usize = 1 + 1 + 1 + 4 + 4;
 const V6: u8 = 1 << 2;
 
@@ -100,7 +104,11 @@
 impl Message {
     /// Bytes that it takes so far.
     pub fn length(&self) -> usize {
-        HEAD + length_of(&self.own) + self.words.iter().map(length_of).sum::<usize>()
+        HEAD + length_of(&self.own) + self.words.iter().map(length_of).sum::<usize>() + self.load_length()
+    }
+
+    fn load_length(&self) -> usize {
+        if self.load.is_empty() { 0 } else { 1 + self.load.len() }
     }
 
     pub fn write(&self) -> Vec<u8> {
@@ -123,6 +131,10 @@
                 bytes.extend(word.accuser.to_be_bytes());
             }
         }
+        if !self.load.is_empty() {
+            bytes.push(LOAD);
+            bytes.extend(&self.load);
+        }
         bytes
     }
 
@@ -137,11 +149,15 @@
         let number = u32::from_be_bytes(take(&mut rest)?);
         let digest = u32::from_be_bytes(take(&mut rest)?);
         let own = word(&mut rest)?;
-        let mut words = Vec::new();
-        while !rest.is_empty() {
+        let (mut words, mut load) = (Vec::new(), Vec::new());
+        while let Some((&first, behind)) = rest.split_first() {
+            if first == LOAD {
+                load = behind.to_vec();
+                break;
+            }
             words.push(word(&mut rest)?);
         }
-        Some(Message { kind, number, digest, own, words })
+        Some(Message { kind, number, digest, own, words, load })
     }
 }
 
@@ -180,7 +196,7 @@
         };
         let words = vec![word("[fd00::7]:99", State::Suspect, 700), word("10.1.2.3:65535", State::Left, 0)];
         let own = word("127.0.0.9:7400", State::Alive, 0);
-        Message { kind: Kind::AskFor, number: 77, digest: 0xdead_beef, own, words }
+        Message { kind: Kind::AskFor, number: 77, digest: 0xdead_beef, own, words, load: Vec::new() }
     }
 
     #[test]
@@ -193,6 +209,9 @@
             assert!(cut.is_none_or(|cut| cut.words.len() < message().words.len()), "{length}");
         }
         assert_eq!(Message::read(&[&bytes[..], &[0]].concat()), None);
+        let loaded = Message { load: vec![7, 8, 9], ..message() };
+        assert_eq!(loaded.write().len(), loaded.length());
+        assert_eq!(Message::read(&loaded.write()), Some(loaded));
     }
 
     #[test]
--- a/crates/ladderpass-overload/tests/front.rs
+++ b/crates/ladderpass-overload/tests/front.rs
@@ -162,6 +162,8 @@
             session: None,
             last_write: None,
             strain: None,
+            fleet: None,
+            lot: None,
         };
         if let Some(governor) = &mut self.governor {
             governor.looks(now, Span::from_secs_f64(self.now - want.due), 128);
--- a/crates/ladderpass/src/faulty.rs
+++ b/crates/ladderpass/src/faulty.rs
@@ -2,6 +2,7 @@
 //!
 //! It owns the switches. It must never be on in a build without the feature `faulty`.
 
+use ladderpass_concert as concert;
 use ladderpass_core::Span;
 use ladderpass_membership as membership;
 
@@ -29,6 +30,8 @@
     LosesAtStop,
     /// A fault of its idea of who is alive.
     Membership(membership::Faulty),
+    /// One of its part in what all routers shed.
+    Concert(concert::Faulty),
 }
 
 impl Faulty {
@@ -52,6 +55,9 @@
             }
             Some("forgets-incarnations") => Ok(Faulty::Membership(membership::Faulty::ForgetsIncarnations)),
             Some("keeps-the-deads-turns") => Ok(Faulty::Membership(membership::Faulty::KeepsTheDeadsTurns)),
+            Some("ignores-the-floor") => Ok(Faulty::Concert(concert::Faulty::IgnoresTheFloor)),
+            Some("tells-tenfold") => Ok(Faulty::Concert(concert::Faulty::TellsTenfold)),
+            Some("keeps-the-deads-words") => Ok(Faulty::Concert(concert::Faulty::KeepsTheDeadsWords)),
             Some(other) => Err(format!("LADDERPASS_FAULTY: {other:?} is no switch")),
         }
     }
@@ -60,6 +66,13 @@
     pub fn is(self, other: Faulty) -> bool {
         cfg!(feature = "faulty") && self == other
     }
+    pub fn of_concert(self) -> concert::Faulty {
+        match self {
+            Faulty::Concert(faulty) if cfg!(feature = "faulty") => faulty,
+            _ => concert::Faulty::Nowhere,
+        }
+    }
+
     pub fn of_membership(self) -> membership::Faulty {
         match self {
             Faulty::Membership(faulty) if cfg!(feature = "faulty") => faulty,
--- a/crates/ladderpass/src/launch.rs
+++ b/crates/ladderpass/src/launch.rs
@@ -157,6 +157,10 @@
             }
             None => line("peers", "off: routers tell each other nothing".into()),
         }
+        line(
+            "fleet.sheds",
+            if self.operator.fleet { "all routers as one" } else { "off: each alone" }.into(),
+        );
         line(
             "members.zone",
             self.operator.zone.clone().unwrap_or("off: all members are equally near".into()),
--- a/crates/ladderpass/src/reducer/calls.rs
+++ b/crates/ladderpass/src/reducer/calls.rs
@@ -19,6 +19,7 @@
     /// Its data must not be older than a bound when it is sent.
     pub(super) bounded: bool,
     pub(super) method: u32,
+    pub(super) group: u32,
     /// Where `d` stands in its statement.
     pub(super) wait_at: std::ops::Range<usize>,
     pub(super) out: Option<ConnId>,
@@ -87,7 +88,7 @@
     /// Hands the answer at the front of a member's connection to the client that waits for it.
     pub(super) fn pass_on(&mut self, now: Time, id: ConnId, rpc: Rpc) {
         let Some(call) = self.calls.get_mut(&rpc) else { return };
-        let (Some(client), method) = (call.client.take(), call.method) else { return };
+        let (Some(client), method, group) = (call.client.take(), call.method, call.group) else { return };
         let kept = now - call.taken - call.own;
         let [Some(from), Some(to)] = self.conns.get_disjoint_mut([&id, &client]) else { return };
         let Peer::Client(state) = &mut to.peer else { return };
@@ -111,6 +112,9 @@
             let whole: Vec<u8> = to.output.whole().to_vec();
             to.output.push(&whole, self.limits.ring_start, usize::MAX);
         }
+        if let Some(peers) = &mut self.peers {
+            peers.served(group);
+        }
         if let Some(own) = &mut self.own {
             own.governor.served(
                 now,
@@ -139,6 +143,7 @@
     pub(super) fn finish(&mut self, now: Time, rpc: Rpc, decision: Decision) {
         let Some(call) = self.calls.get_mut(&rpc) else { return };
         let client = call.client.take();
+        let group = call.group;
         let kept = now - call.taken - call.own;
         if call.out.is_none() {
             self.calls.remove(&rpc);
@@ -154,6 +159,9 @@
         match decision {
             Decision::PushBack { come_back } => {
                 self.tally.pushed_back += 1;
+                if let Some(peers) = &mut self.peers {
+                    peers.unsent(group);
+                }
                 pg::put_refusal(
                     &mut out,
                     "53300",
--- a/crates/ladderpass/src/reducer/clients.rs
+++ b/crates/ladderpass/src/reducer/clients.rs
@@ -389,6 +389,7 @@
         let Some(conn) = self.conns.get_mut(&id) else { return };
         let Peer::Client(client) = &mut conn.peer else { return };
         let body = conn.input.whole().get(5..length).unwrap_or_default();
+        let mut fleet_refuses = false;
         let read = pg::statement(body).map_err(|_| ("22021", "not text".to_owned())).and_then(|statement| {
             let comment = pg::comment(statement).map_err(|text| ("42601", text))?;
             let method = *(self.methods)
@@ -407,7 +408,17 @@
             let last_write =
                 comment.after_ms.filter(|&ms| ms > 0.0).map(|ms| (now - moment(ms)).max(Span::ZERO));
             let resent = comment.resent;
-            let mut arrival = Arrival { method, group, due, resent, session: None, last_write, strain: None };
+            let mut arrival = Arrival {
+                method,
+                group,
+                due,
+                resent,
+                session: None,
+                last_write,
+                strain: None,
+                fleet: None,
+                lot: None,
+            };
             if let Some(own) = &mut self.own {
                 own.governor.looks(now, came.map_or(Span::ZERO, |(_, own)| own), length);
                 let strain = own.governor.strain(now, method, &client.spent);
@@ -429,6 +440,12 @@
             if self.ids.contains(id) {
                 return Err(("23505", "its id is that of another RPC".to_owned()));
             }
+            if let Some(peers) = &mut self.peers {
+                let session = if self.session_methods { key } else { comment.id };
+                let router = &self.router;
+                fleet_refuses =
+                    peers.weigh(now, &mut arrival, session, |a, strain| router.rank(now, a, strain));
+            }
             arrival.session = Some(key).filter(|_| self.session_methods && !self.carried).map(session);
             Ok((arrival, comment.wait_at, id))
         });
@@ -458,9 +475,13 @@
             self.figured.shed += 1;
             return self.push_back_at_once(id, length, come_back);
         }
+        if let (true, Decision::PushBack { come_back }) = (fleet_refuses, decision) {
+            self.tally.shed += 1;
+            return self.push_back_at_once(id, length, come_back);
+        }
         self.ids.add(now, name, due + self.limits.id_rest, self.limits.ids);
         client.phase = Phase::Busy(rpc);
-        let method = arrival.method;
+        let (method, group) = (arrival.method, arrival.group);
         let span = tracing::debug_span!("rpc", method, due_ms = (due - now).secs() * 1e3);
         self.calls.insert(
             rpc,
@@ -471,6 +492,7 @@
                 due,
                 bounded,
                 method,
+                group,
                 wait_at,
                 out: None,
                 span,
--- a/crates/ladderpass/src/reducer/peers.rs
+++ b/crates/ladderpass/src/reducer/peers.rs
@@ -5,6 +5,9 @@
 //! is alive, nor what a word is worth.
 
 use super::*;
+use ladderpass_concert::{Concert, Seen, lot};
+use ladderpass_core::Strain;
+use ladderpass_membership::number_of;
 use ladderpass_membership::{Change, FIRST, Membership, Own as Me, Settings, View};
 use std::fmt::Write;
 
@@ -16,11 +19,23 @@
     settled_at: Time,
     listed: usize,
     out: Vec<(SocketAddr, Vec<u8>)>,
+    /// By this router's index of a group: the number that all know it by.
+    cells: Vec<u32>,
+    /// None: each router sheds for itself.
+    concert: Option<Concert>,
+    /// What this router has refused for all, and when the log told of it last.
+    refused: u64,
+    figures_at: Time,
+    figures_every: Span,
 }
 
 const SETTLES: Span = Span::from_millis(2000);
 /// Routers that one line of the log names.
 const NAMED: usize = 6;
+/// Ranks of the fleet go by utility alone: each RPC costs all the same.
+const UNIT: f64 = 1e-4;
+/// Bytes that go along with a datagram of the membership.
+const LOAD: usize = 150;
 
 impl Peers {
     pub(super) fn new(now: Time, launch: &Launch) -> Option<Peers> {
@@ -40,13 +55,54 @@
             wake: now,
             settled_at: now + SETTLES,
             listed: peers.listed.iter().filter(|&&address| address != peers.address).count() + 1,
+            concert: (launch.operator.fleet)
+                .then(|| Concert::start(now, number_of(peers.address), launch.faulty.of_concert())),
+            cells: Vec::new(),
+            refused: 0,
+            figures_at: now,
+            figures_every: launch.operator.log.figures,
             membership,
             out: Vec::new(),
         })
     }
 
     pub(super) fn wake(&self) -> Time {
-        self.wake
+        self.concert.as_ref().map_or(self.wake, |concert| concert.wake().min(self.wake))
+    }
+
+    /// What all refuse of its group, and its session's lot; told of as asked. Is it sure to be refused?
+    pub(super) fn weigh(
+        &mut self,
+        now: Time,
+        arrival: &mut Arrival,
+        session: &str,
+        rank: impl Fn(&Arrival, &Strain) -> u32,
+    ) -> bool {
+        let (Some(concert), Some(&group)) = (&mut self.concert, self.cells.get(arrival.group as usize))
+        else {
+            return false;
+        };
+        let (floor, pressure) = concert.floor(group);
+        let strain = Strain { pressure, floor, cost: UNIT, floods: false, delay: Span::ZERO };
+        let rank = rank(arrival, &strain);
+        concert.asked(group, rank);
+        let lot = lot(session.as_bytes(), now);
+        (arrival.fleet, arrival.lot) = (Some(strain), Some(lot));
+        let refused = f64::from(rank) + lot < floor;
+        self.refused += u64::from(refused);
+        refused
+    }
+
+    pub(super) fn served(&mut self, group: u32) {
+        if let (Some(concert), Some(&group)) = (&mut self.concert, self.cells.get(group as usize)) {
+            concert.served(group);
+        }
+    }
+
+    pub(super) fn unsent(&mut self, group: u32) {
+        if let (Some(concert), Some(&group)) = (&mut self.concert, self.cells.get(group as usize)) {
+            concert.unsent(group);
+        }
     }
 }
 
@@ -61,6 +117,10 @@
         let Some(peers) = self.peers.as_deref_mut() else { return };
         if bytes.first() == Some(&FIRST) {
             peers.membership.heard(now, from, bytes);
+            let loads = peers.membership.loads();
+            if let Some(concert) = &mut peers.concert {
+                loads.iter().for_each(|load| concert.heard(now, load));
+            }
             return self.regard(now);
         }
         if !peers.membership.knows(now, from) {
@@ -83,11 +143,62 @@
     }
 
     pub(super) fn tend_peers(&mut self, now: Time) {
+        self.tend_concert(now);
         let Some(peers) = self.peers.as_deref_mut().filter(|peers| peers.wake <= now) else { return };
         peers.membership.tend(now);
         self.regard(now);
     }
 
+    /// What all routers reckon together goes to the core, and this one's words to the others.
+    fn tend_concert(&mut self, now: Time) {
+        let Some(peers) = self.peers.as_deref_mut() else { return };
+        let Some(concert) = peers.concert.as_mut().filter(|concert| concert.wake() <= now) else { return };
+        if peers.cells.len() != self.groups.len() {
+            peers.cells = vec![0; self.groups.len()];
+            for (&cell, &index) in &self.groups {
+                if let Some(number) = peers.cells.get_mut(index as usize) {
+                    *number = (cell ^ cell >> 32) as u32;
+                }
+            }
+        }
+        let cells = &peers.cells;
+        let seen = self.router.seen(now).map(|seen| Seen {
+            member: seen.member,
+            mark: seen.mark,
+            group: cells.get(seen.group as usize).copied().unwrap_or_default(),
+            stretch: seen.stretch,
+            in_flight: seen.in_flight,
+        });
+        let seen: Vec<Seen> = seen.collect();
+        if let Some(facts) = concert.tend(now, &seen) {
+            facts.limits.iter().for_each(|&(member, limit)| self.router.room_is(member, limit));
+        }
+        peers.membership.carry(concert.tell(now, LOAD));
+        if now - peers.figures_at < peers.figures_every {
+            return;
+        }
+        peers.figures_at = now;
+        for figures in concert.figures() {
+            tracing::info!(
+                target: "ladderpass::fleet",
+                "floor {:.2} in group {}: asked {:.0}, let in {:.0}, served {:.0}, unsent {:.0}; {} words, {} bounded, \
+                 {} alive; room {:.1}, part {:.3}; refused {}",
+                figures.floor,
+                figures.group,
+                figures.asked,
+                figures.admits,
+                figures.served,
+                figures.unsent,
+                figures.words,
+                figures.bounded,
+                peers.view.count,
+                figures.room,
+                figures.part,
+                peers.refused
+            );
+        }
+    }
+
     pub(super) fn leave_peers(&mut self, now: Time) {
         if let Some(peers) = self.peers.as_deref_mut() {
             peers.membership.leave(now);
@@ -120,6 +231,9 @@
         }
         let moved =
             (view.me, view.count, view.digest) != (peers.view.me, peers.view.count, peers.view.digest);
+        if let Some(concert) = &mut peers.concert {
+            concert.lives(peers.membership.peers(now).map(|peer| number_of(peer.address)));
+        }
         let came_or_went = changes.iter().any(|(_, change)| *change != Change::Suspected);
         peers.view = view;
         if moved || came_or_went {
