--- a/crates/ladderpass-lab/src/main.rs
+++ b/crates/ladderpass-lab/src/main.rs
@@ -83,7 +83,7 @@
     },
     /// An issue's proof: prints one table and ends non-zero where something falls short
     Prove {
-        /// Which: overload, faults, membership
+        /// Which: overload, faults, membership, fleet-overload
         name: String,
         #[arg(long, default_value_t = 1)]
         seed: u64,
@@ -180,6 +180,11 @@
                     prove::overload::prove(&router, earlier.as_deref(), seed, &out.join("overload"))
                 }
                 "faults" => prove::faults::prove(&router, faulty.as_deref(), seed),
+                "fleet-overload" => {
+                    let (faulty, earlier) = (faulty.as_deref(), earlier.as_deref());
+                    let programs = drill::play::Programs { router: &router, faulty, earlier };
+                    prove::fleet_overload::prove(programs, seed, &out.join("fleet-overload"))
+                }
                 "membership" => {
                     let (faulty, earlier) = (faulty.as_deref(), earlier.as_deref());
                     let programs = drill::play::Programs { router: &router, faulty, earlier };
@@ -187,7 +192,7 @@
                 }
                 other => {
                     return Err(format!(
-                        "there is no proof {other:?}; there are overload, faults and membership"
+                        "there is no proof {other:?}; there are overload, faults, membership and fleet-overload"
                     ));
                 }
             };
--- /dev/null
+++ b/crates/ladderpass-lab/src/prove/fleet_overload.rs
@@ -0,0 +1,296 @@
+//! The proof that the fleet sheds as one: eight routers with uneven parts of three times what the members can do, beside the
+//! same routers each alone and beside one that sees all; kills and a split at the peak; faulty builds told apart; cost.
+
+use super::Table;
+use crate::charts::{self, Line};
+use crate::drill::play::{Played, Programs, play};
+use crate::drill::{Deed, Drill};
+use ladderpass_fleet::Scenario;
+use ladderpass_rules::Answer;
+use std::collections::BTreeMap;
+use std::io;
+use std::path::Path;
+
+const ON: &str = "fleet: {sheds: true}\nlog: {figures: 250ms}";
+const OFF: &str = "log: {figures: 250ms}";
+const ROUTERS: usize = 8;
+/// RPCs a second: about 300 fit, and a tenth are writes of four times a read's utility, which all would.
+const RATE: f64 = 750.0;
+const SECS: f64 = 8.0;
+const WRITES: usize = 1;
+/// When a third is killed, when the rest is split and for how long, and when that drill ends.
+const KILLED: f64 = 4.0;
+const SPLIT: (f64, f64) = (7.0, 3.0);
+const ENDS: f64 = 15.0;
+
+fn scenario() -> Scenario {
+    let mut scenario = Scenario { cores: 2, ..Scenario::default() };
+    for (method, share) in scenario.methods.iter_mut().zip([0.9, 0.1]) {
+        (method.work_ms, method.share, method.value_bytes) = (20.0, share, 16);
+    }
+    scenario
+}
+
+fn drill(routers: usize, operator: &str, secs: f64) -> Drill {
+    Drill {
+        routers,
+        uneven: 8.0,
+        roaming: 0.0,
+        clients: 600,
+        phases: vec![(secs, RATE)],
+        scenario: scenario(),
+        operator: operator.into(),
+        ..Drill::default()
+    }
+}
+
+/// One that sees all: the other gets a thousandth.
+fn single() -> Drill {
+    Drill { uneven: 1000.0, peers: false, ..drill(2, OFF, SECS) }
+}
+
+fn named(names: &[&str]) -> Vec<String> {
+    names.iter().map(|name| (*name).to_owned()).collect()
+}
+
+fn harmed() -> Drill {
+    let sides = vec![named(&["r0", "r1", "r3"]), named(&["r4", "r6", "r7"])];
+    let deeds = vec![
+        Deed { at: KILLED, kill: named(&["r2", "r5", "r8"]), ..Deed::default() },
+        Deed { at: SPLIT.0, lasts: SPLIT.1, split: sides, ..Deed::default() },
+    ];
+    Drill { deeds, ..drill(9, ON, ENDS) }
+}
+
+fn utility(played: &Played, from: f64, to: f64) -> f64 {
+    played.outcome.utility_rate(from, to)
+}
+
+/// Part of the writes served well: of all, and at the worst router that had some.
+fn writes(drill: &Drill, played: &Played) -> (f64, f64) {
+    let total = played.outcome.of(WRITES);
+    let mut worst = 1.0f64;
+    for router in 0..drill.routers {
+        let sent = played.outcome.journal.iter().filter(|e| e.router == router && e.method == WRITES);
+        let (mut due, mut good) = (0.0, 0.0);
+        for entry in sent {
+            due += 1.0;
+            good += f64::from(u8::from(matches!(entry.answered, Some((_, Answer::Ok, _)))));
+        }
+        if due >= 10.0 {
+            worst = worst.min(good / due);
+        }
+    }
+    (total.good as f64 / total.due.max(1) as f64, worst)
+}
+
+fn kept(table: &mut Table, what: &str, played: &Played) {
+    let told: Vec<String> =
+        played.violations.iter().map(ToString::to_string).chain(played.fallen.iter().cloned()).collect();
+    let total = played.outcome.total();
+    let silent = total.late + total.unanswered;
+    let lost = played.outcome.journal.iter().filter(|entry| entry.lost.is_some()).count();
+    let text = match told.first() {
+        None => format!("none in {} RPCs; {silent} unanswered, {lost} with a killed router", total.due),
+        Some(first) => format!("{}: {}", told.len(), first.chars().take(120).collect::<String>()),
+    };
+    table.ask(format!("{what}: rules broken"), "none", text, told.is_empty());
+}
+
+/// How long the middle pushback of a router's clients took, in milliseconds.
+fn pushback_ms(played: &Played, router: usize) -> f64 {
+    let mut times: Vec<f64> = played
+        .outcome
+        .journal
+        .iter()
+        .filter(|entry| entry.router == router && secs_of(played, entry) > 2.0)
+        .filter_map(|entry| match entry.answered {
+            Some((at, Answer::PushedBack, _)) => Some((at - entry.sent).secs() * 1e3),
+            _ => None,
+        })
+        .collect();
+    times.sort_by(f64::total_cmp);
+    times.get(times.len() / 2).copied().unwrap_or(0.0)
+}
+
+fn secs_of(played: &Played, entry: &crate::load::Entry) -> f64 {
+    (entry.sent - played.outcome.began).secs()
+}
+
+/// The number before a word in the lines of a router's floor, of its last `last` lines.
+fn figures(played: &Played, router: usize, word: &str, last: usize) -> Vec<f64> {
+    let lines: Vec<&String> =
+        played.logs[router].iter().filter(|line| line.contains("ladderpass::fleet")).collect();
+    let number = |line: &&&String| {
+        let before = line.split(word).next()?;
+        before.split_whitespace().last()?.parse().ok()
+    };
+    lines[lines.len().saturating_sub(last)..].iter().filter_map(|line| number(&line)).collect()
+}
+
+fn mean(values: &[f64]) -> f64 {
+    values.iter().sum::<f64>() / values.len().max(1) as f64
+}
+
+/// CPU microseconds an RPC of all routers, in calm.
+fn cost(programs: Programs<'_>, operator: &str, seed: u64) -> io::Result<f64> {
+    let drill = Drill {
+        routers: 2,
+        uneven: 1.0,
+        clients: 100,
+        phases: vec![(2.5, 3000.0)],
+        operator: operator.into(),
+        scenario: Scenario::default(),
+        ..Drill::default()
+    };
+    let played = play(&drill, programs, seed)?;
+    Ok(played.cpu.iter().sum::<f64>() * 1e6 / played.outcome.total().due.max(1) as f64)
+}
+
+fn load_of(programs: Programs<'_>, routers: usize, seed: u64) -> io::Result<(f64, f64)> {
+    let drill = Drill {
+        routers,
+        rests_s: 2.0,
+        phases: vec![(3.0, 100.0)],
+        clients: 40,
+        operator: ON.into(),
+        ..Drill::default()
+    };
+    let played = play(&drill, programs, seed)?;
+    let per = |of: fn(&ladderpass_faults::Sent) -> u64| {
+        let sum: u64 = played.sent.iter().map(|(from, to)| of(to) - of(from)).sum();
+        sum as f64 / routers as f64 / drill.secs()
+    };
+    Ok((per(|sent| sent.datagrams), per(|sent| sent.bytes)))
+}
+
+fn lane<T>(handle: std::thread::ScopedJoinHandle<'_, io::Result<T>>) -> io::Result<T> {
+    handle.join().unwrap_or_else(|_| Err(io::Error::other("a lane of the proof failed")))
+}
+
+pub fn prove(programs: Programs<'_>, seed: u64, out: &Path) -> io::Result<bool> {
+    let mut table = Table::new("fleet-overload");
+    if programs.faulty.is_none() {
+        table.ask("faulty builds", "told apart", "no --faulty router", false);
+        return Ok(table.print());
+    }
+    let (on, alone) = (drill(ROUTERS, ON, SECS), drill(ROUTERS, OFF, SECS));
+    let one = |switch: &str| BTreeMap::from([("r0".to_owned(), switch.to_owned())]);
+    let ignores = Drill { faulty: one("ignores-the-floor"), ..drill(ROUTERS, ON, 5.0) };
+    let tells = Drill { faulty: one("tells-tenfold"), ..drill(ROUTERS, ON, 5.0) };
+    let all = (0..9).map(|nth| (format!("r{nth}"), "keeps-the-deads-words".to_owned())).collect();
+    let keeps = Drill { faulty: all, ..harmed() };
+    // What is compared runs side by side: what else the machine does hits all alike.
+    let (seen, fleet, each) = std::thread::scope(|scope| {
+        let seen = scope.spawn(|| play(&single(), programs, seed));
+        let fleet = scope.spawn(|| play(&on, programs, seed));
+        let each = scope.spawn(|| play(&alone, programs, seed));
+        io::Result::Ok((lane(seen)?, lane(fleet)?, lane(each)?))
+    })?;
+    let (harm, keeps, ignores, tells) = std::thread::scope(|scope| {
+        let harm = scope.spawn(|| play(&harmed(), programs, seed));
+        let keeps = scope.spawn(|| play(&keeps, programs, seed));
+        let both = scope.spawn(|| Ok((play(&ignores, programs, seed)?, play(&tells, programs, seed)?)));
+        let (ignores, tells) = lane(both)?;
+        io::Result::Ok((lane(harm)?, lane(keeps)?, ignores, tells))
+    })?;
+    let of = |played: &Played| utility(played, 0.0, SECS) / utility(&seen, 0.0, SECS).max(1e-9);
+    let beside = format!("{:.3}; each alone {:.3}", of(&fleet), of(&each));
+    table.ask("utility, of the router that sees all", "at least 0.95", beside, of(&fleet) >= 0.95);
+    let (good, worst) = writes(&on, &fleet);
+    let (good_each, worst_each) = writes(&alone, &each);
+    table.ask(
+        "writes served well",
+        "at least 0.98",
+        format!("{good:.3}; each alone {good_each:.3}"),
+        good >= 0.98,
+    );
+    table.ask(
+        "  at the worst router",
+        "at least 0.95",
+        format!("{worst:.3}; each alone {worst_each:.3}"),
+        worst >= 0.95,
+    );
+    kept(&mut table, "three times what fits", &fleet);
+    kept(&mut table, "a third killed, a split", &harm);
+    let last = SPLIT.0 + SPLIT.1;
+    let after = utility(&harm, last + 2.0, ENDS - 0.5) / utility(&seen, 2.0, SECS - 0.5).max(1e-9);
+    table.ask("utility 2 s after the last fault", "at least 0.95", format!("{after:.3}"), after >= 0.95);
+    let healthy = (1..ROUTERS).map(|router| pushback_ms(&fleet, router)).fold(0.0, f64::max);
+    let faulty = pushback_ms(&ignores, 0);
+    table.ask(
+        "  ignores-the-floor",
+        "told apart",
+        format!("refuses after {faulty:.0} ms, healthy ones at once ({healthy:.0} ms)"),
+        faulty > 10.0 * healthy.max(5.0),
+    );
+    let bounded = |played: &Played| {
+        mean(&(1..ROUTERS).map(|router| mean(&figures(played, router, " bounded", 8))).collect::<Vec<_>>())
+    };
+    let (lied, honest) = (bounded(&tells), bounded(&fleet));
+    table.ask(
+        "  tells-tenfold",
+        "told apart",
+        format!("words cut to the bound {lied:.2}, among honest ones {honest:.2}"),
+        lied >= 0.8 && lied > 1.5 * honest,
+    );
+    let words = |played: &Played| mean(&figures(played, 0, " words", 6));
+    table.ask(
+        "  keeps-the-deads-words",
+        "told apart",
+        format!("{:.1} words of others with 5 alive, healthy {:.1}", words(&keeps), words(&harm)),
+        words(&keeps) > 7.5 && words(&harm) < 5.5,
+    );
+    let mut costs = [Vec::new(), Vec::new()];
+    for turn in 0..2 {
+        for (nth, operator) in [ON, OFF].into_iter().enumerate() {
+            costs[nth].push(cost(programs, operator, seed + turn)?);
+        }
+    }
+    let least = |costs: &[f64]| costs.iter().copied().fold(f64::MAX, f64::min);
+    let (with, without) = (least(&costs[0]), least(&costs[1]));
+    table.ask(
+        "CPU an RPC, of the program with it off",
+        "at most 1.05",
+        format!("{with:.1} us for {without:.1} us: {:.3}", with / without),
+        with <= 1.05 * without,
+    );
+    let loads = std::thread::scope(|scope| {
+        let lanes = [4, 8, 16, 32].map(|count| (count, scope.spawn(move || load_of(programs, count, seed))));
+        let done = lanes.into_iter().map(|(count, handle)| Ok((count, lane(handle)?)));
+        done.collect::<io::Result<Vec<(usize, (f64, f64))>>>()
+    })?;
+    for (part, what) in [(0, "datagrams"), (1, "bytes")] {
+        let of = |load: &(f64, f64)| if part == 0 { load.0 } else { load.1 };
+        let all: Vec<f64> = loads.iter().map(|(_, load)| of(load)).collect();
+        let (least, most) =
+            (all.iter().copied().fold(f64::MAX, f64::min), all.iter().copied().fold(0.0, f64::max));
+        let told = all.iter().map(|load| format!("{load:.0}")).collect::<Vec<_>>().join(", ");
+        let what = format!("{what} a router a second, 4, 8, 16, 32");
+        table.ask(what, "flat within a fifth", told, most <= 1.2 * least);
+    }
+    std::fs::create_dir_all(out)?;
+    let lines: Vec<Line<'_>> =
+        vec![("one sees all", seen.utility()), ("as one", fleet.utility()), ("each alone", each.utility())];
+    charts::lines(&out.join("utility.svg"), "Utility", ("seconds", "a second"), &lines, false)?;
+    let lines: Vec<Line<'_>> = vec![("a third killed at 4 s, split from 7 to 10 s", harm.utility())];
+    charts::lines(&out.join("harmed.svg"), "Utility", ("seconds", "a second"), &lines, false)?;
+    let names: Vec<String> = (0..ROUTERS).map(|nth| format!("r{nth}")).collect();
+    let floors: Vec<Line<'_>> = names
+        .iter()
+        .enumerate()
+        .map(|(nth, name)| {
+            let floors = figures(&fleet, nth, " in group", usize::MAX);
+            let at = |(n, floor): (usize, &f64)| (n as f64 * 0.25, *floor);
+            (name.as_str(), floors.iter().enumerate().map(at).collect())
+        })
+        .collect();
+    charts::lines(
+        &out.join("floors.svg"),
+        "Floor of each router",
+        ("seconds of its log", "rank"),
+        &floors,
+        false,
+    )?;
+    Ok(table.print())
+}
--- a/crates/ladderpass-lab/src/prove/mod.rs
+++ b/crates/ladderpass-lab/src/prove/mod.rs
@@ -3,6 +3,7 @@
 //! It owns what a proof asks. It must never loosen a figure to a seed, nor hold one that the run can measure.
 
 pub mod faults;
+pub mod fleet_overload;
 pub mod membership;
 pub mod overload;
 
