--- a/crates/ladderpass-concert/src/concert.rs
+++ b/crates/ladderpass-concert/src/concert.rs
@@ -21,6 +21,8 @@
 const ROOM_MOST: f64 = 4096.0;
 /// Answers may be so many times as long as usual before a room shrinks: a member with nothing waiting is not full.
 const SLOW: f64 = 1.6;
+/// A room grows while this many times what is in flight fills it: one that stands open would be filled at once by a jam.
+const USED: f64 = 2.0;
 /// A step of a room goes this part of the way.
 const ROOM_STEP: f64 = 0.3;
 /// This router's part may grow by this much a step.
@@ -385,7 +387,7 @@
             let before = (own.room + (median(&mut rooms) - own.room) * TOGETHER).max(ROOM_LEAST);
             // Shortest answer time over the present one, and a little more to find out whether there is room.
             let wanted = before * (SLOW / stretch.max(SLOW)) + before.sqrt();
-            let used = in_flight * scale * 2.0 >= before;
+            let used = in_flight * scale * USED >= before;
             let step = if wanted < before || used { (wanted - before) * ROOM_STEP } else { 0.0 };
             own.room = (before + step).clamp(ROOM_LEAST, ROOM_MOST);
             room += own.room;
--- a/crates/ladderpass/tests/drills.rs
+++ b/crates/ladderpass/tests/drills.rs
@@ -120,6 +120,44 @@
     assert_agreed(&played, 40);
 }
 
+/// Overload answered as one while parts fail: two in five killed at the peak, one that stands still with an old floor, one
+/// whose words nobody hears, one that has no words at all, cold members, and a router with eight times what others have.
+#[test]
+fn the_fleet_sheds_as_one_while_parts_fail_and_keeps_the_rules() {
+    let _alone = alone();
+    let (drill, played) = played(
+        "{routers: 6, uneven: 8, phases: [[9, 250]], clients: 300, quiet: [r3], \
+         operator: \"fleet: {sheds: true}\\nlog: {figures: 250ms}\", scenario: {cores: 1, cold: [2], methods: [\
+         {name: board, max_age_ms: 2000, work_ms: 20, soft_deadline_ms: 800, utility: 2, share: 0.9}, \
+         {name: move, writes: true, work_ms: 20, soft_deadline_ms: 800, utility: 8, share: 0.1}]}, \
+         deeds: [{at: 1, mute: [r2], for: 3}, {at: 3, kill: [r4, r5]}, {at: 5, freeze: [r1], for: 3}]}",
+    );
+    let floors = |router: usize| {
+        let lines = played.logs[router].iter().filter(|line| line.contains("ladderpass::fleet"));
+        lines.filter(|line| !line.contains("floor 0.00")).count()
+    };
+    assert!(floors(0) > 3 && floors(2) > 3, "no floor at all: the load presses on nothing");
+    let all = played.of(&drill, &[0, 1, 2, 3, 4, 5]);
+    assert!(all.pushed_back > all.due / 4 && all.ok > all.due / 10, "{all:?}");
+}
+
+/// A group without a primary presses; the floor is its own, and the other group's RPCs are served.
+#[test]
+fn a_group_without_a_primary_makes_no_floor_for_another() {
+    let _alone = alone();
+    let (_, played) = played(
+        "{routers: 3, phases: [[6, 60]], clients: 40, operator: \"fleet: {sheds: true}\\nlog: {figures: 250ms}\", \
+         scenario: {groups: 2}, deeds: [{at: 1, ends: 0}]}",
+    );
+    // Groups go by turns with the numbers of RPCs: those of the second one are the odd ones.
+    let of_second = played.outcome.journal.iter().filter(|entry| entry.number % 2 == 1);
+    let served = of_second
+        .clone()
+        .filter(|entry| matches!(entry.answered, Some((_, ladderpass_rules::Answer::Ok, _))));
+    let (served, asked) = (served.count(), of_second.count());
+    assert!(asked > 50 && served * 100 >= asked * 97, "{served} of {asked}");
+}
+
 #[test]
 fn a_router_that_does_not_start_is_told_with_its_last_lines() {
     let _alone = alone();
