--- a/crates/ladderpass-concert/src/concert.rs
+++ b/crates/ladderpass-concert/src/concert.rs
@@ -38,7 +38,7 @@
 const RISE: f64 = 0.01;
 const RISE_MOST: f64 = 0.05;
 /// This part of what is let in may find no room before the floor rises.
-const UNSENT: f64 = 0.03;
+const UNSENT: f64 = 0.06;
 /// Heard of so many others, or of half of them, a router knows what its part is.
 const ENOUGH: f64 = 8.0;
 /// Words of other routers that are kept.
