--- a/crates/ladderpass-concert/src/concert.rs
+++ b/crates/ladderpass-concert/src/concert.rs
@@ -5,7 +5,7 @@
 //! may; a router that hears nobody keeps its last part. It must never decide about an RPC.
 
 use crate::word::{self, Told, Word};
-use ladderpass_core::{MemberId, Span, Time};
+use ladderpass_core::{MemberId, Seen, Span, Time};
 use std::collections::{BTreeMap, HashSet};
 
 /// How often it reckons, and tells its own.
@@ -65,17 +65,6 @@
     KeepsTheDeadsWords,
 }
 
-/// What the core sees of a member by itself.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Seen {
-    pub member: MemberId,
-    /// By which all routers know it.
-    pub mark: u32,
-    pub group: u32,
-    pub stretch: f64,
-    pub in_flight: f64,
-}
-
 /// What the core is told.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Facts {
--- a/crates/ladderpass-concert/src/lib.rs
+++ b/crates/ladderpass-concert/src/lib.rs
@@ -9,5 +9,5 @@
 mod concert;
 mod word;
 
-pub use concert::{Concert, Facts, Faulty, Figures, Seen, lot};
+pub use concert::{Concert, Facts, Faulty, Figures, lot};
 pub use word::{Told, Word, read, write};
--- a/crates/ladderpass-core/src/interface.rs
+++ b/crates/ladderpass-core/src/interface.rs
@@ -287,7 +287,7 @@
 
 /// What a router sees of a member by itself: answer time over the usual one, and RPCs in flight.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct SeenOf {
+pub struct Seen {
     pub member: MemberId,
     pub mark: u32,
     pub group: u32,
@@ -302,9 +302,9 @@
     }
 
     /// What this router sees of each member, for what all reckon together.
-    pub fn seen(&self, now: Time) -> impl Iterator<Item = SeenOf> {
+    pub fn seen(&self, now: Time) -> impl Iterator<Item = Seen> {
         self.fleet.members.iter().flatten().filter(|member| member.standing == Standing::On).map(
-            move |member| SeenOf {
+            move |member| Seen {
                 member: member.id,
                 mark: member.mark,
                 group: member.group as u32,
--- a/crates/ladderpass-fleet/src/truth.rs
+++ b/crates/ladderpass-fleet/src/truth.rs
@@ -3,7 +3,6 @@
 //! It owns the record alone. It must never be read by a model or a router to decide something.
 
 use ladderpass_core::Time;
-use std::collections::HashMap;
 use std::io::{self, Write};
 
 /// One call-out that a member began.
@@ -41,21 +40,6 @@
 }
 
 impl Truth {
-    /// Ids of writes that ran more than once, with how often; `from` skips what an earlier phase has checked.
-    pub fn doubled(&self) -> Vec<(&str, u32)> {
-        let mut seen: HashMap<&str, u32> = HashMap::new();
-        for ran in self.ran.iter().filter(|ran| ran.writes) {
-            *seen.entry(&ran.id).or_default() += 1;
-        }
-        let mut doubled: Vec<_> = seen.into_iter().filter(|&(_, times)| times > 1).collect();
-        doubled.sort_unstable();
-        doubled
-    }
-
-    pub fn writes(&self) -> impl Iterator<Item = &str> {
-        self.ran.iter().filter(|ran| ran.writes).map(|ran| &*ran.id)
-    }
-
     /// One JSON object a line.
     pub fn write_lines(&self, out: &mut impl Write) -> io::Result<()> {
         for ran in &self.ran {
--- a/crates/ladderpass-lab/src/bed.rs
+++ b/crates/ladderpass-lab/src/bed.rs
@@ -170,18 +170,7 @@
     pub fn violations(&self, answers: Span) -> Vec<Violation> {
         let members = self.scenario.members();
         let links = (0..members).map(|member| (member, (0, member as u32))).collect();
-        let started: Vec<Started> = self
-            .scenario
-            .cold
-            .iter()
-            .map(|&member| Started {
-                at: self.outcome.began,
-                member,
-                capacity: self.bears,
-                cold_from: 0.2,
-                warm_within: Span::from_millis(10_000),
-            })
-            .collect();
+        let started = Started::all(&self.scenario, self.outcome.began, self.bears);
         let grace = Grace { answer: answers, ..Grace::default() };
         let history = History {
             scenario: &self.scenario,
--- a/crates/ladderpass-lab/src/drill/play.rs
+++ b/crates/ladderpass-lab/src/drill/play.rs
@@ -501,19 +501,7 @@
         let left = self.links.stop();
         let fleet_started = self.fleet.started();
         let truth = self.fleet.stop();
-        let started: Vec<Started> = self
-            .drill
-            .scenario
-            .cold
-            .iter()
-            .map(|&member| Started {
-                at: fleet_started,
-                member,
-                capacity: self.drill.bears,
-                cold_from: 0.2,
-                warm_within: Span::from_millis(10_000),
-            })
-            .collect();
+        let started = Started::all(&self.drill.scenario, fleet_started, self.drill.bears);
         let grace = Grace { answer: Span::from_millis(i64::from(self.drill.grace_ms)), ..Grace::default() };
         let history = History {
             scenario: &self.drill.scenario,
--- a/crates/ladderpass-lab/src/joint.rs
+++ b/crates/ladderpass-lab/src/joint.rs
@@ -42,6 +42,15 @@
     pub warm_within: Span,
 }
 
+impl Started {
+    /// The members of a fleet that start cold, as routers are told of warming up.
+    pub fn all(scenario: &Scenario, at: Time, capacity: f64) -> Vec<Started> {
+        let warm_within = Span::from_millis(10_000);
+        let started = |&member: &u32| Started { at, member, capacity, cold_from: 0.2, warm_within };
+        scenario.cold.iter().map(started).collect()
+    }
+}
+
 pub struct History<'a> {
     pub scenario: &'a Scenario,
     /// By router: the links that it calls members by, as the tool numbers them.
--- a/crates/ladderpass-lab/src/prove/fleet_overload.rs
+++ b/crates/ladderpass-lab/src/prove/fleet_overload.rs
@@ -1,7 +1,7 @@
 //! The proof that the fleet sheds as one: eight routers with uneven parts of three times what the members can do, beside the
 //! same routers each alone and beside one that sees all; kills and a split at the peak; faulty builds told apart; cost.
 
-use super::Table;
+use super::{Table, datagrams_of, lane, named};
 use crate::charts::{self, Line};
 use crate::drill::play::{Played, Programs, play};
 use crate::drill::{Deed, Drill};
@@ -49,10 +49,6 @@
     Drill { uneven: 1000.0, peers: false, ..drill(2, OFF, SECS) }
 }
 
-fn named(names: &[&str]) -> Vec<String> {
-    names.iter().map(|name| (*name).to_owned()).collect()
-}
-
 fn harmed() -> Drill {
     let sides = vec![named(&["r0", "r1", "r3"]), named(&["r4", "r6", "r7"])];
     let deeds = vec![
@@ -171,15 +167,7 @@
         ..Drill::default()
     };
     let played = play(&drill, programs, seed)?;
-    let per = |of: fn(&ladderpass_faults::Sent) -> u64| {
-        let sum: u64 = played.sent.iter().map(|(from, to)| of(to) - of(from)).sum();
-        sum as f64 / routers as f64 / drill.secs()
-    };
-    Ok((per(|sent| sent.datagrams), per(|sent| sent.bytes)))
-}
-
-fn lane<T>(handle: std::thread::ScopedJoinHandle<'_, io::Result<T>>) -> io::Result<T> {
-    handle.join().unwrap_or_else(|_| Err(io::Error::other("a lane of the proof failed")))
+    Ok(datagrams_of(&drill, &played))
 }
 
 pub fn prove(programs: Programs<'_>, seed: u64, out: &Path) -> io::Result<bool> {
--- a/crates/ladderpass-lab/src/prove/membership.rs
+++ b/crates/ladderpass-lab/src/prove/membership.rs
@@ -1,7 +1,7 @@
 //! The proof of who is alive: kills, freezes, one-way loss, a split and lost datagrams between several processes; faulty
 //! builds told apart; each rule shown broken in a joint history by one faulty router among healthy ones.
 
-use super::Table;
+use super::{Table, datagrams_of, lane, named};
 use crate::charts::{self, Line};
 use crate::drill::play::{Played, Programs, play};
 use crate::drill::{Deed, Drill};
@@ -12,10 +12,6 @@
 use std::io;
 use std::path::Path;
 
-fn named(names: &[&str]) -> Vec<String> {
-    names.iter().map(|name| (*name).to_owned()).collect()
-}
-
 fn loss(name: &str, part: f64) -> Option<DatagramRule> {
     Some(datagrams(name, &[], part, Done::Drop))
 }
@@ -168,11 +164,7 @@
 fn load_of(programs: Programs<'_>, routers: usize, seed: u64) -> io::Result<(f64, f64)> {
     let drill = Drill { routers, rests_s: 2.0, phases: vec![(3.0, 100.0)], clients: 40, ..Drill::default() };
     let played = play(&drill, programs, seed)?;
-    let per = |of: fn(&ladderpass_faults::Sent) -> u64| {
-        let sum: u64 = played.sent.iter().map(|(from, to)| of(to) - of(from)).sum();
-        sum as f64 / routers as f64 / drill.secs()
-    };
-    Ok((per(|sent| sent.datagrams), per(|sent| sent.bytes)))
+    Ok(datagrams_of(&drill, &played))
 }
 
 /// Reads alone, so that members are probed for their positions; a third of nine routers is killed.
@@ -370,11 +362,6 @@
     ["never-suspects", "believes-the-first-rumour", "forgets-incarnations", "keeps-the-deads-turns"];
 const SIZES: [usize; 4] = [4, 8, 16, 32];
 
-/// What a lane gave; one that failed by itself is a fault like any other.
-fn lane<T>(handle: std::thread::ScopedJoinHandle<'_, io::Result<T>>) -> io::Result<T> {
-    handle.join().unwrap_or_else(|_| Err(io::Error::other("a lane of the proof failed")))
-}
-
 /// All drills, in lanes side by side: most of a drill's time is waiting.
 fn measure(programs: Programs<'_>, seed: u64) -> io::Result<Measured> {
     let mut measured = std::thread::scope(|scope| {
--- a/crates/ladderpass-lab/src/prove/mod.rs
+++ b/crates/ladderpass-lab/src/prove/mod.rs
@@ -7,6 +7,9 @@
 pub mod membership;
 pub mod overload;
 
+use crate::drill::Drill;
+use crate::drill::play::Played;
+use std::io;
 use std::time::Instant;
 
 /// The table of a proof: what was asked, what was measured.
@@ -58,3 +61,21 @@
         short == 0
     }
 }
+
+fn named(names: &[&str]) -> Vec<String> {
+    names.iter().map(|name| (*name).to_owned()).collect()
+}
+
+/// What a lane gave; one that failed by itself is a fault like any other.
+fn lane<T>(handle: std::thread::ScopedJoinHandle<'_, io::Result<T>>) -> io::Result<T> {
+    handle.join().unwrap_or_else(|_| Err(io::Error::other("a lane of the proof failed")))
+}
+
+/// Datagrams and bytes that a router of a drill sent a second, on average.
+fn datagrams_of(drill: &Drill, played: &Played) -> (f64, f64) {
+    let per = |of: fn(&ladderpass_faults::Sent) -> u64| {
+        let sum: u64 = played.sent.iter().map(|(from, to)| of(to) - of(from)).sum();
+        sum as f64 / drill.routers as f64 / drill.secs()
+    };
+    (per(|sent| sent.datagrams), per(|sent| sent.bytes))
+}
--- a/crates/ladderpass/src/reducer/peers.rs
+++ b/crates/ladderpass/src/reducer/peers.rs
@@ -5,8 +5,8 @@
 //! is alive, nor what a word is worth.
 
 use super::*;
-use ladderpass_concert::{Concert, Seen, lot};
-use ladderpass_core::Strain;
+use ladderpass_concert::{Concert, lot};
+use ladderpass_core::{Seen, Strain};
 use ladderpass_membership::number_of;
 use ladderpass_membership::{Change, FIRST, Membership, Own as Me, Settings, View};
 use std::fmt::Write;
@@ -162,13 +162,9 @@
             }
         }
         let cells = &peers.cells;
-        let seen = self.router.seen(now).map(|seen| Seen {
-            member: seen.member,
-            mark: seen.mark,
-            group: cells.get(seen.group as usize).copied().unwrap_or_default(),
-            stretch: seen.stretch,
-            in_flight: seen.in_flight,
-        });
+        // By the number that all know a group by.
+        let known = |group: u32| cells.get(group as usize).copied().unwrap_or_default();
+        let seen = self.router.seen(now).map(|seen| Seen { group: known(seen.group), ..seen });
         let seen: Vec<Seen> = seen.collect();
         if let Some(facts) = concert.tend(now, &seen) {
             facts.limits.iter().for_each(|&(member, limit)| self.router.room_is(member, limit));
