--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -527,8 +527,8 @@
         let index = entry.member.0 as usize;
         if !self.fleet.knows(entry.member) {
             let sent = self.deployment.overload_for.max(MEASURE) * 0.125;
-            let limit = LIMIT_START / f64::from(self.deployment.routers.max(1));
-            let limit = limit.clamp(START_LEAST, START_MOST);
+            let limit =
+                (LIMIT_START / f64::from(self.deployment.routers.max(1))).clamp(START_LEAST, START_MOST);
             let mut member = Member::new(entry.member, entry.group as usize, limit, MEASURE, sent);
             member.mark = entry.mark;
             self.fleet.add(member);
@@ -654,8 +654,7 @@
     /// Tells the other routers what this one was told by the member itself, unless they know it already.
     fn share(&mut self, now: Time, index: usize, word: Word, at: Time, stretch: f64) {
         let led = self.fleet.groups[self.fleet.member(index).group].primary.is_some();
-        let step = self.least_bound * TELL_PART;
-        let step = if led { step } else { step.min(TELL_LEADERLESS) };
+        let step = (self.least_bound * TELL_PART).min(if led { Span::MAX } else { TELL_LEADERLESS });
         let member = self.fleet.member_mut(index);
         if self.deployment.peers && now - member.shared_at >= step {
             (member.shared, member.shared_at) = (member.shared.max(at), now);
@@ -768,6 +767,8 @@
                 self.tend_probes(now);
             }
             wake = wake.min(self.probes_at);
+        } else {
+            self.fleet.forgive(now); // a call-out stands in for the probe that would be due
         }
         if let Some(at) = self.ask_at {
             if at <= now {
--- a/crates/ladderpass-core/src/state.rs
+++ b/crates/ladderpass-core/src/state.rs
@@ -135,6 +135,12 @@
         gone
     }
 
+    /// Misses of members whose next probe is due by now are over.
+    pub fn forgive(&mut self, now: Time) {
+        let due = self.members.iter_mut().flatten().filter(|member| member.probe_at <= now);
+        due.for_each(|member| member.misses = 0);
+    }
+
     /// Keeps the most members that a group had at once.
     pub fn count_members(&mut self, group: usize) {
         let members = self.groups[group].members.iter();
--- a/crates/ladderpass-core/tests/exceptions.rs
+++ b/crates/ladderpass-core/tests/exceptions.rs
@@ -517,3 +517,21 @@
         router.tend(at(ms));
     }
 }
+
+/// Where nobody may be probed, a primary that could not be reached once was never asked again.
+#[test]
+fn without_probes_a_lost_member_is_tried_again_now_and_then() {
+    let mut router = group_of(1, |d| (d.probes, d.probes_tell) = (false, false));
+    let (rpc, decision) = router.take(at(0), arrival(1, 0));
+    assert_eq!(sent_to(decision), Some(0));
+    rpc.left(&mut router);
+    rpc.ended(&mut router, at(0), outcome(0, Ended::Unreachable, 1));
+    let mut sent = |ms| {
+        router.tend(at(ms));
+        let (rpc, decision) = router.take(at(ms), arrival(1, ms));
+        rpc.left(&mut router);
+        sent_to(decision)
+    };
+    assert_eq!(sent(200), None, "left out");
+    assert_eq!(sent(1000), Some(0));
+}
--- a/crates/ladderpass/src/reducer.rs
+++ b/crates/ladderpass/src/reducer.rs
@@ -56,6 +56,8 @@
     Written(ConnId, usize),
     /// It was ended by the other side, or never came up.
     Closed(ConnId),
+    /// There was no descriptor, or no memory, for one that was asked for.
+    Denied(ConnId),
     /// The socket takes no more of `outgoing` for now.
     Stuck(ConnId),
     /// A look at the process, and what a turn of the loop took with so many sockets still to be looked at.
@@ -180,6 +182,8 @@
     peers: Option<Box<Peers>>,
     groups: HashMap<u64, u32>,
     generation: u64,
+    /// Since when discovery tells of older lists alone.
+    older_since: Option<Time>,
     watch: Option<ConnId>,
     /// The watch of the address that discovery had before: it serves until the new one has answered.
     old_watch: Option<ConnId>,
@@ -251,6 +255,7 @@
             peers,
             groups: HashMap::new(),
             generation: 0,
+            older_since: None,
             watch: None,
             old_watch: None,
             moved_watch: false,
@@ -370,6 +375,7 @@
             Event::Received(id, count, waited) => self.received(now, id, count, waited),
             Event::Written(id, count) => self.written(now, id, count),
             Event::Closed(id) => self.closed(now, id),
+            Event::Denied(id) => self.denied(now, id),
             Event::Stuck(id) => self.stuck(now, id),
             Event::Looked(sample) => self.looked(now, sample),
             Event::Worked(busy, waiting) => self.worked(now, busy, waiting),
@@ -516,7 +522,9 @@
             Peer::Client(_) => return,
             Peer::Member(_) => pg::put_startup(&mut out, USER, DATABASE),
             Peer::Discovery(_) => {
-                let call = discovery::call(&self.discovery.to_string(), self.generation);
+                // Where its list is older than the one here, the whole of it is wanted.
+                let from = if self.older_since.is_some() { 0 } else { self.generation };
+                let call = discovery::call(&self.discovery.to_string(), from);
                 out.extend_from_slice(call.as_bytes());
             }
         }
@@ -648,6 +656,14 @@
         }
     }
 
+    /// Guards members against blame for what this router is short of.
+    fn denied(&mut self, now: Time, id: ConnId) {
+        match self.conns.get(&id).map(|conn| &conn.peer) {
+            Some(Peer::Member(_)) => self.link_over(now, id, Ended::Void),
+            _ => self.closed(now, id),
+        }
+    }
+
     fn expired(&mut self, now: Time, id: ConnId) {
         let Some(conn) = self.conns.get(&id) else { return };
         match &conn.peer {
--- a/crates/ladderpass/src/reducer/members.rs
+++ b/crates/ladderpass/src/reducer/members.rs
@@ -315,10 +315,17 @@
                 coming.extend(Some(id).filter(|_| !link.up));
             }
         }
-        // What was never sent goes to the new address.
+        // What was never sent goes to the new address: no miss of the member's, which may stand there already.
         coming.sort();
         for id in coming {
-            self.link_over(now, id, Ended::Unreachable);
+            let Some(Conn { peer: Peer::Member(link), .. }) = self.conns.get_mut(&id) else { continue };
+            let (job, until, begun) = (link.job.take(), link.until, link.begun);
+            self.drop_conn(id);
+            let Some(job) = job else { continue };
+            if self.reach(now, index, job, until).is_none() {
+                let outcome = Answer::default().outcome(MemberId(index as u32), Ended::Void, now - begun);
+                self.job_ended(now, job, outcome, Report::default());
+            }
         }
     }
 
--- a/crates/ladderpass/src/reducer/watch.rs
+++ b/crates/ladderpass/src/reducer/watch.rs
@@ -72,6 +72,7 @@
                         }
                     }
                     let meanwhile = self.old_watch == Some(id);
+                    self.weigh_older(now, &listing);
                     if let Err(fault) = self.listed(now, &listing, false, meanwhile) {
                         return self.watch_failed(now, id, &fault);
                     }
@@ -84,6 +85,19 @@
         }
     }
 
+    /// Guards against a discovery that has started to count anew, whose lists would be refused for ever. An older list is
+    /// a late one for as long as the protocol lets news be late; a whole one that comes after that is taken as it is.
+    fn weigh_older(&mut self, now: Time, listing: &Listing) {
+        if listing.generation >= self.generation {
+            self.older_since = None;
+            return;
+        }
+        let since = *self.older_since.get_or_insert(now);
+        if listing.reset && now - since >= self.limits.told_within {
+            (self.generation, self.older_since) = (0, None);
+        }
+    }
+
     pub(super) fn watch_failed(&mut self, now: Time, id: ConnId, why: &str) {
         tracing::warn!("the list: {why}");
         let before = self.old_watch == Some(id);
--- a/crates/ladderpass/src/sockets.rs
+++ b/crates/ladderpass/src/sockets.rs
@@ -385,7 +385,7 @@
             Ok(()) => {}
             Err(fault) => {
                 tracing::debug!("connect to {address}: {fault}");
-                self.apply(Event::Closed(id));
+                self.apply(if is_short(&fault) { Event::Denied(id) } else { Event::Closed(id) });
             }
         }
     }
@@ -534,7 +534,7 @@
 fn is_short(fault: &io::Error) -> bool {
     use nix::errno::Errno;
     let code = fault.raw_os_error().map(Errno::from_raw);
-    matches!(code, Some(Errno::EMFILE | Errno::ENFILE | Errno::ENOBUFS | Errno::ENOMEM) | None)
+    matches!(code, Some(Errno::EMFILE | Errno::ENFILE | Errno::ENOBUFS | Errno::ENOMEM))
 }
 
 /// What a connect that goes on in the background answers: EINPROGRESS.
--- a/crates/ladderpass/tests/endings.rs
+++ b/crates/ladderpass/tests/endings.rs
@@ -359,6 +359,55 @@
     bed.passes("2");
 }
 
+/// Discovery counts anew from lower: late lists are refused, but not for longer than news may be late.
+#[test]
+fn a_discovery_that_counts_anew_is_believed_in_the_end() {
+    let mut bed = bed(|told| told);
+    bed.generation = 50;
+    let here = instance(0, &bed.at(0), "SERVING");
+    bed.tell(&here, true);
+    bed.settle();
+    let moved = instance(0, &bed.at(1), "SERVING");
+    let since = Instant::now();
+    loop {
+        bed.generation = 2;
+        bed.tell(&moved, true);
+        bed.settle();
+        let mut client = bed.client();
+        client.write_all(&query(&write(&format!("{:?}", since.elapsed())))).expect("the router reads");
+        let taken = since.elapsed() > Duration::from_secs(6);
+        match bed.asked_within(usize::from(taken), Duration::from_millis(500)) {
+            Some((_, link)) if !taken => bed.serve(0, link),
+            Some(_) => return,
+            None => assert!(since.elapsed() < Duration::from_secs(14), "refused for ever"),
+        }
+        bed.open_watch();
+    }
+}
+
+/// Three RPCs wait for their connection when their member's address changes: they go to the new one, and none counts as
+/// a miss of the member, which would leave it out.
+#[test]
+fn what_waits_for_a_connection_goes_to_the_new_address() {
+    let mut bed = bed(|told| told);
+    let mut clients: Vec<TcpStream> = (0..4).map(|_| bed.client()).collect();
+    for (nth, client) in clients.iter_mut().enumerate() {
+        client.write_all(&query(&write(&nth.to_string()))).expect("the router reads");
+    }
+    let _late: Vec<TcpStream> = (0..4).map(|_| bed.coming(0)).collect();
+    let moved = instance(0, &bed.at(1), "SERVING");
+    bed.tell(&moved, false);
+    let mut ids: Vec<String> = Vec::new();
+    for _ in 0..4 {
+        let (id, link) = bed.asked(1);
+        ids.push(id);
+        bed.serve(1, link);
+    }
+    ids.sort();
+    assert_eq!(ids, ["0", "1", "2", "3"]);
+    clients.iter_mut().for_each(|client| assert_eq!(rest_of_answer(client).0, b"TDCZ"));
+}
+
 // ---- clients that leave while they wait
 
 /// Statement and end come together: on a new connection, and on one that was served before.
@@ -635,17 +684,19 @@
     assert_eq!(rest_of_answer(&mut client).0, b"TDCZ");
 }
 
+/// The router may have no more than this many descriptors.
+fn limited(command: &mut Command) {
+    let program = command.get_program().to_owned();
+    let envs: Vec<_> =
+        command.get_envs().filter_map(|(key, value)| Some((key.to_owned(), value?.to_owned()))).collect();
+    *command = Command::new("sh");
+    command.args(["-c", "ulimit -n 24; exec \"$0\""]).arg(program).envs(envs);
+}
+
 /// Out of descriptors: those at the door wait, and are served once some are free again.
 #[test]
 fn those_at_the_door_are_served_once_there_are_descriptors_again() {
-    let limit = |command: &mut Command| {
-        let program = command.get_program().to_owned();
-        let envs: Vec<_> =
-            command.get_envs().filter_map(|(key, value)| Some((key.to_owned(), value?.to_owned()))).collect();
-        *command = Command::new("sh");
-        command.args(["-c", "ulimit -n 24; exec \"$0\""]).arg(program).envs(envs);
-    };
-    let mut bed = bed_of(vec![listener(), listener()], |told| told, limit);
+    let mut bed = bed_of(vec![listener(), listener()], |told| told, limited);
     bed.passes("1");
     let mut many: Vec<TcpStream> =
         (0..30).map(|_| TcpStream::connect(&bed.address).expect("it listens")).collect();
@@ -654,3 +705,19 @@
     many.clear();
     bed.passes("2");
 }
+
+/// No descriptor for a connection to a member is no miss of the member's: its RPC is answered, and the next goes through.
+#[test]
+fn a_member_is_not_blamed_for_descriptors_that_are_short() {
+    let mut bed = bed_of(vec![listener(), listener()], |told| told, limited);
+    let mut clients: Vec<TcpStream> = (0..4).map(|_| bed.client()).collect();
+    let many: Vec<TcpStream> =
+        (0..30).map(|_| TcpStream::connect(&bed.address).expect("it listens")).collect();
+    sleep(Duration::from_millis(100));
+    for (nth, client) in clients.iter_mut().enumerate() {
+        assert_eq!(answer(client, &statement(&nth.to_string(), "write", 500, "1")).1, "53300");
+    }
+    drop(many);
+    drop(clients);
+    bed.passes("after");
+}
