--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -286,8 +286,7 @@
     }
 
     fn ask_all(&mut self, now: Time, group: usize) {
-        let count = self.fleet.groups[group].members.len();
-        (0..count).for_each(|nth| self.ask(now, self.fleet.groups[group].members[nth]));
+        self.fleet.groups[group].members.clone().into_iter().for_each(|index| self.ask(now, index));
     }
 
     /// What another router is told soon reaches this one: those that want news of a member ask it by turns.
@@ -527,8 +526,8 @@
         let index = entry.member.0 as usize;
         if !self.fleet.knows(entry.member) {
             let sent = self.deployment.overload_for.max(MEASURE) * 0.125;
-            let limit =
-                (LIMIT_START / f64::from(self.deployment.routers.max(1))).clamp(START_LEAST, START_MOST);
+            let limit = LIMIT_START / f64::from(self.deployment.routers.max(1));
+            let limit = limit.clamp(START_LEAST, START_MOST);
             let mut member = Member::new(entry.member, entry.group as usize, limit, MEASURE, sent);
             member.mark = entry.mark;
             self.fleet.add(member);
