--- a/crates/ladderpass-deployment/src/lib.rs
+++ b/crates/ladderpass-deployment/src/lib.rs
@@ -135,6 +135,15 @@
 pub fn read(settings: &Value) -> Result<Facts, String> {
     let shape: Shape = parse(settings)?;
     let Shape { allowed, contract, extra, .. } = &shape;
+    if shape.services.is_empty() {
+        return Err("Services: must name at least one".into());
+    }
+    if allowed.attempts_cap == Some(0) {
+        return Err("Allowed.AttemptsCap: must be at least 1".into());
+    }
+    if let Some(part) = contract.cold_from.filter(|part| !(0.0..=1.0).contains(part)) {
+        return Err(format!("Contract.ColdFrom: {part} is not from 0 to 1"));
+    }
     let mut methods = Vec::new();
     for (index, service) in shape.services.iter().enumerate() {
         methods.push(method(index, service, extra)?);
@@ -214,8 +223,11 @@
             "side_effect" => Effect::NonIdempotent,
             other => return Err(format!("Services[{index}].Effect: unknown value {other:?}")),
         },
-        soft_deadline: span(&format!("Services[{index}].Slo"), Some(service.slo))?,
-        utility: service.worth.unwrap_or(1.0),
+        soft_deadline: positive(&format!("Services[{index}].Slo"), Some(service.slo))?
+            .ok_or_else(|| format!("Services[{index}].Slo: must be above 0"))?,
+        utility: Some(service.worth.unwrap_or(1.0))
+            .filter(|worth| *worth >= 0.0)
+            .ok_or_else(|| format!("Services[{index}].Worth: must not be negative"))?,
         late: service.late_worth.unwrap_or(0.0),
     })
 }
--- a/crates/ladderpass/tests/end_to_end.rs
+++ b/crates/ladderpass/tests/end_to_end.rs
@@ -321,6 +321,14 @@
         (good.replace("\"Slo\":750000000,\"Effect\":\"pure\"", "\"Effect\":\"pure\""), "127.0.0.1:0", "Slo"),
         (good.replace("\"side_effect\"", "\"odd\""), "127.0.0.1:0", "settings.Services[1].Effect"),
         (good.replace("\"seed\"", "\"discovery\":7,\"seed\""), "127.0.0.1:0", "discovery"),
+        (good.replacen("\"Slo\":750000000", "\"Slo\":0", 1), "127.0.0.1:0", "Services[0].Slo"),
+        (good.replace("\"Slo\":750000000", "\"Slo\":null"), "127.0.0.1:0", "Slo"),
+        (good.replace("\"Worth\":6.0", "\"Worth\":-6.0"), "127.0.0.1:0", "Services[1].Worth"),
+        (good.replace("\"AttemptsCap\":6", "\"AttemptsCap\":0"), "127.0.0.1:0", "Allowed.AttemptsCap"),
+        (good.replace("\"ColdFrom\":0.2", "\"ColdFrom\":20"), "127.0.0.1:0", "Contract.ColdFrom"),
+        (good.replace("\"MustAskIn\":10000000000,", ""), "127.0.0.1:0", "Contract.MustAskIn"),
+        (good.replace("\"subscribe\"", "\"sometimes\""), "127.0.0.1:0", "RegistryMode"),
+        (good.replace("\"ConnIdle\":15000000000", "\"ConnIdle\":-1"), "127.0.0.1:0", "Allowed.ConnIdle"),
         (good.replace("\"generation\":1,", ""), "127.0.0.1:0", "known: missing field `generation`"),
     ] {
         let told = file(&text);
