What stands behind an answer is looked at once the answer may have shown that its client left

Cause: with ring and socket full the kernel holds the client's end back; the answer's reset shows it, but reducer.rs written, and received after the room that came free, put the client in line for the same turn.

--- a/crates/ladderpass/src/reducer.rs
+++ b/crates/ladderpass/src/reducer.rs
@@ -446,7 +446,12 @@
         }
         self.core_wake = upkeep.wake;
         // Not before what the sockets tell next: a client may have left while it was answered.
-        self.ready.extend(std::mem::take(&mut self.again));
+        for id in std::mem::take(&mut self.again) {
+            if let Some(Conn { peer: Peer::Client(client), .. }) = self.conns.get_mut(&id) {
+                client.just_answered = false;
+                self.ready.push_back(id);
+            }
+        }
         if now - self.tally.told_at >= self.limits.tally {
             self.tell_tally(now);
         }
@@ -630,7 +635,8 @@
                     link.own += now - link.asked;
                 }
             }
-            Peer::Client(_) if done && !closing => self.ready.push_back(id),
+            // Its next statement is looked at in the next turn: what was written may show that it has left.
+            Peer::Client(_) if done && !closing => self.again.push(id),
             _ => {}
         }
         let client = matches!(conn.peer, Peer::Client(_));
--- a/crates/ladderpass/src/reducer/calls.rs
+++ b/crates/ladderpass/src/reducer/calls.rs
@@ -159,6 +159,7 @@
         let Some(conn) = self.conns.get_mut(&id) else { return };
         if let Peer::Client(client) = &mut conn.peer {
             client.phase = Phase::Idle;
+            client.just_answered = true;
         }
         let length = pg::head(conn.input.whole()).ok().flatten().map_or(0, |(_, length)| length);
         self.used(id, length);
--- a/crates/ladderpass/src/reducer/clients.rs
+++ b/crates/ladderpass/src/reducer/clients.rs
@@ -32,6 +32,8 @@
     /// What it is waited for, and since when.
     pub(super) waiting: Option<(Waiting, Time)>,
     pub(super) served: bool,
+    /// In this turn: what it sent behind that is the next one's, as the answer may show that it has left.
+    pub(super) just_answered: bool,
     /// What it took of the router lately.
     pub(super) spent: Spent,
     /// Bytes that came and that are done with, and up to which of them came by when.
@@ -105,6 +107,7 @@
             until_sync: false,
             waiting: None,
             served: false,
+            just_answered: false,
             spent: Spent::default(),
             came: 0,
             done: 0,
@@ -207,7 +210,11 @@
         for _ in 0..self.limits.statements {
             let Some(conn) = self.conns.get_mut(&id) else { return };
             let Peer::Client(client) = &mut conn.peer else { return };
-            if conn.closing || client.resting || matches!(client.phase, Phase::Busy(_)) {
+            if conn.closing
+                || client.resting
+                || client.just_answered
+                || matches!(client.phase, Phase::Busy(_))
+            {
                 return;
             }
             // One that does not read its answers gets no more of them.
