A pipelined statement's time runs from when it was sent

Ruled out: clients closed by us (no close in the log), statements not read, held RPCs. A log of each RPC's steps showed that the first one lost was taken 0.67 s after it was sent, behind another, and given its whole 951 ms from then on; its client left when 951 ms from the send were over, 0.3 s after its attempt began. At fault: `take` in reducer/clients.rs, which knew when bytes came only where the router watches itself (operator's file), and `received` in reducer.rs, which kept that only there. The marks of what came are now kept always.

Tests: `a_statement_behind_another_...` fails before ("still open at 410 ms"); the random runs' rule 1 allowed 100 s to whatever stood behind another RPC: it now holds such a statement to its own time, or 10 ms after the answer before it, and fails before.

--- a/crates/ladderpass/src/reducer.rs
+++ b/crates/ladderpass/src/reducer.rs
@@ -608,9 +608,7 @@
             Peer::Client(client) => {
                 self.unlooked += count;
                 // What waited for room of its own tells nothing of this router's pace.
-                if self.own.is_some() {
-                    client.came(if paused { now } else { now - waited }, count);
-                }
+                client.came(if paused { now } else { now - waited.max(self.behind) }, count);
                 self.ready.push_back(id);
             }
             Peer::Member(link) => {
--- a/crates/ladderpass/src/reducer/clients.rs
+++ b/crates/ladderpass/src/reducer/clients.rs
@@ -412,8 +412,10 @@
             // An hour is more than any client waits, and within what a clock can add.
             // Guards against an answer past the client's time after the process stood still.
             let wait = Span::from_secs_f64(comment.wait_ms.min(3.6e6) / 1e3);
-            let came = self.own.as_ref().and_then(|_| client.came_at(now, length));
-            let due = came.map_or(now + wait - self.behind, |(came, _)| came + wait);
+            // Guards against an answer after its client has left: its time runs from when it sent the statement, also
+            // while that stood behind others. One whose time is over by then is told so at once.
+            let came = client.came_at(now, length);
+            let due = came.map_or(now - self.behind, |(came, _)| came) + wait;
             let late = self.faulty.is(Faulty::AnswersLate);
             let due = if late { due + Span::from_millis(1000) } else { due };
             let last_write =
--- a/crates/ladderpass/tests/rules.rs
+++ b/crates/ladderpass/tests/rules.rs
@@ -35,6 +35,8 @@
     ids: Vec<String>,
     inbox: Vec<u8>,
     answers: usize,
+    /// When the last of them came.
+    answered_at: Option<Time>,
     /// It broke the protocol: nothing is owed any more.
     junk: bool,
 }
@@ -160,8 +162,15 @@
                     let own = client.junk || value.is_none() || wanted.is_none() || value == wanted;
                     assert!(own, "rule 1: served what was made for another");
                 }
-                for due in client.due.iter().take(ready).skip(client.answers) {
-                    assert!(client.junk || self.now <= *due, "rule 1: an answer past the client's time");
+                // What waits behind another RPC has its time from when it was sent, and its turn after that one.
+                let turn = client.answered_at.map_or(self.now, |at| at + Span::from_millis(10));
+                for (nth, due) in client.due.iter().enumerate().take(ready).skip(client.answers) {
+                    let behind = nth > client.answers || self.now <= turn && client.answered_at.is_some();
+                    let in_time = self.now <= *due || behind;
+                    assert!(client.junk || in_time, "rule 1: an answer past the client's time");
+                }
+                if ready > client.answers {
+                    client.answered_at = Some(self.now);
                 }
                 client.answers = ready;
             } else if let Some(peer) = self.peers.get_mut(&id) {
@@ -252,12 +261,6 @@
                 let due = self.now + Span::from_millis(wait as i64);
                 self.clients.get_mut(&id).expect("it is there").due.push(due);
                 self.clients.get_mut(&id).expect("it is there").ids.push(rpc);
-                // What waits behind another RPC has its time from when it is read.
-                if let Some(client) = self.clients.get_mut(&id)
-                    && client.due.len() > client.answers + 1
-                {
-                    client.due.iter_mut().for_each(|due| *due = *due + Span::from_millis(100_000));
-                }
                 self.feed(id, &query(&text));
             }
             5 => {
@@ -745,6 +748,36 @@
     panic!("it is not sent");
 }
 
+/// Two statements come in one piece. The first is answered late and the second never by a member: its own time, which
+/// runs from when it was sent, is over 400 ms later, and not 400 ms after its turn came; its client has left by then.
+#[test]
+fn a_statement_behind_another_is_answered_in_the_time_that_runs_from_when_it_was_sent() {
+    for served_after in [100, 300, 390, 700] {
+        let (mut world, client, link) = one_call("read");
+        let text = statement("9", "read", 400, "1");
+        world.statements.insert("9".to_owned(), (id_and_rest(&text).1, false, false));
+        let state = world.clients.get_mut(&client).expect("it is there");
+        let due = world.now + Span::from_millis(400);
+        (state.due, state.ids) = (vec![state.due[0], due], vec!["7".to_owned(), "9".to_owned()]);
+        world.feed(client, &query(&text));
+        let position = world.now.nanos() as u64 / 1_000_000;
+        for step in 0..=180 {
+            world.pass(Span::from_millis(5));
+            if step * 5 == served_after {
+                world.feed(link, &row(b"7", "follower", position));
+                world.write(client);
+            }
+            let state = &world.clients[&client];
+            let turn = served_after.max(400) + 10;
+            assert!(
+                step * 5 < turn || state.answers == 2,
+                "{served_after} ms: still open at {} ms",
+                step * 5
+            );
+        }
+    }
+}
+
 /// A connection is not used again before it has proven quiet: what comes behind an answer is no other RPC's answer.
 #[test]
 fn a_second_copy_behind_an_answer_closes_the_connection_before_it_is_used_again() {
