--- a/crates/ladderpass/src/main.rs
+++ b/crates/ladderpass/src/main.rs
@@ -2,17 +2,8 @@
 //!
 //! It must never hold anything that outlives the start.
 
-mod buffer;
-mod discovery;
-mod faulty;
-mod launch;
-mod limits;
-mod pg;
-mod reducer;
-mod sockets;
-mod wires;
-
 use clap::{Parser, Subcommand};
+use ladderpass::{launch, sockets};
 use ladderpass_deployment::operator::Log;
 use std::path::PathBuf;
 use std::process::ExitCode;
