Proof of the fault tool: the same seed records the same, whatever rules make of the traffic

Seen: `make prove NAME=faults SEED=129771` falls short: the second recording ends at line 21 where the first goes on with a drawn slice. Ten plays of that seed by the same program, trial: 33 decisions six times, 20 twice, 51 and 53 once.

Cause: two of the traffic, none of the tool's decisions. The seed's plan garbles 20 statements. The emulated member can't read one and closes over it; what it had not read yet makes that a reset, which takes along the answers that it had sent and the tool not read: more or less of them each time. And the client stopped after 100 ms of silence, less than a drawn delay of a statement, or than a busy machine takes. Ruled out: the draws (by rule, connection and byte), the order of records (sorted).

Change: `recorded` has a member of its own that answers whatever comes whole and ends after its client; the client ends its sending and reads to the end. All rules that were drawn still act, and all that they decide is compared, where a reset or the 100 ms cut both recordings short before. The three recordings play side by side. A faulty router's row tells how often its plan acted, too.

Seen by this: the tool's driver closed a connection once both sides had ended their sending, though bytes that it had delayed were still to pass (100 bytes in slices: 1 passed). It waits for them now.

--- a/crates/ladderpass-faults/src/driver.rs
+++ b/crates/ladderpass-faults/src/driver.rs
@@ -401,8 +401,8 @@
             let _ = end.stream.shutdown(std::net::Shutdown::Write);
             end.ending = false;
         }
-        // Both directions over: nothing of it is left to pass.
-        let ends = self.pairs.get(&conn).map(|pair| pair.ends);
+        // Both directions over: nothing of it is left to pass, now or at its time.
+        let ends = self.pairs.get(&conn).filter(|pair| pair.late == [0, 0]).map(|pair| pair.ends);
         let over = |index: Option<usize>| {
             index.and_then(|index| self.ends.get(&index)).is_none_or(|end| end.ended && end.output.is_empty())
         };
--- a/crates/ladderpass-lab/src/prove/faults.rs
+++ b/crates/ladderpass-lab/src/prove/faults.rs
@@ -5,13 +5,13 @@
 use crate::bed::{self, Deed, Seen, open};
 use crate::load::{self, until_ready};
 use crate::router::Start;
-use ladderpass_core::Span;
+use ladderpass_core::{Span, Time};
 use ladderpass_faults::driver;
 use ladderpass_faults::{Decision, Plan, Rule, difference};
 use ladderpass_fleet::{Running, Scenario, proto};
 use nix::sys::signal::Signal;
-use std::io::{self, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::io::{self, Read, Write};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
 use std::time::Instant;
 
@@ -147,21 +147,58 @@
     Ok((broken(&seen), acted(row, &seen, decisions)))
 }
 
-/// One client asks a member one thing after the other through a link with a plan drawn from the seed.
-fn recorded(seed: u64) -> io::Result<Vec<Decision>> {
-    let fleet = Running::start(Scenario::default(), seed, Ipv4Addr::LOCALHOST)?;
-    let links = bed::links(&fleet.addresses[..1], fleet.discovery);
+/// Rules drawn from the seed that neither end nor stop a connection: the comparison would end with it.
+fn drawn(seed: u64) -> Vec<Rule> {
+    let links =
+        bed::links(&[SocketAddr::from((Ipv4Addr::LOCALHOST, 1))], SocketAddr::from((Ipv4Addr::LOCALHOST, 2)));
     let mut plan = Plan::drawn(seed, 12, links[..1].to_vec());
-    // Those that end or stop a connection would end the comparison with it.
     plan.rules.retain(|rule| {
         matches!(rule.action.name(), "delay" | "slice" | "garble" | "duplicate" | "drop" | "noise")
     });
     for rule in &mut plan.rules {
         rule.when.nth = rule.when.nth.map(|nth| nth % 40 + 1);
     }
+    plan.rules
+}
+
+/// Answers whatever comes whole on one connection, well-formed or not, and ends it only once its client has:
+/// what this member tells depends on nothing but what it was sent. One that closes over a statement that it
+/// can't read takes along what it has answered and the tool not yet read, more or less of it each time.
+fn answer_all(listener: &TcpListener) -> io::Result<()> {
+    let (mut stream, _) = listener.accept()?;
+    stream.set_nodelay(true)?;
+    let (mut input, mut chunk, mut opened) = (Vec::new(), [0; 4096], false);
+    loop {
+        let count = stream.read(&mut chunk)?;
+        if count == 0 {
+            return Ok(());
+        }
+        input.extend_from_slice(&chunk[..count]);
+        let mut out = Vec::new();
+        if !opened && let Some(length) = proto::startup(&input) {
+            (input, opened) = (input.split_off(length), true);
+            proto::put_welcome(&mut out);
+        }
+        while opened && let Some((_, _, length)) = proto::frame(&input) {
+            input = input.split_off(length);
+            proto::put_row(&mut out, &[b'.'; 256], false, true, Some(Time::from_nanos(0)));
+        }
+        stream.write_all(&out)?;
+    }
+}
+
+/// What the tool decides while one client asks a member one thing after the other through a link with these
+/// rules. It ends with what both have to say, not by a time: a busy machine, or a rule, may take longer than
+/// any.
+pub fn recorded(seed: u64, rules: Vec<Rule>) -> io::Result<Vec<Decision>> {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+    let links =
+        bed::links(&[listener.local_addr()?], SocketAddr::from((Ipv4Addr::LOCALHOST, 1)))[..1].to_vec();
+    let plan = Plan { seed, links, rules, ..Plan::default() };
     let tool = driver::Running::start(plan, None)?;
     let mut stream = TcpStream::connect(tool.addresses[0])?;
-    stream.set_read_timeout(Some(std::time::Duration::from_millis(100)))?;
+    // Guards against a member or a tool that hangs; harms where the plan's delays add up to more.
+    stream.set_read_timeout(Some(std::time::Duration::from_secs(30)))?;
     let mut out = Vec::new();
     proto::put_startup(&mut out);
     for nth in 0..60 {
@@ -173,9 +210,11 @@
         );
     }
     stream.write_all(&out)?;
+    stream.shutdown(Shutdown::Write)?;
+    let member = std::thread::spawn(move || answer_all(&listener));
     // All that comes, whatever the plan has made of it.
-    let mut chunk = [0; 4096];
-    while io::Read::read(&mut stream, &mut chunk).is_ok_and(|count| count > 0) {}
+    io::copy(&mut stream, &mut io::sink())?;
+    member.join().map_err(|_| io::Error::other("the member failed"))??;
     Ok(tool.stop().record)
 }
 
@@ -228,8 +267,8 @@
         );
         match faulty {
             Some(faulty) => {
-                let (caught, _) = play(row, faulty, Some(row.switch), seed)?;
-                let told = format!("breaks {caught:?}");
+                let (caught, (hits, what)) = play(row, faulty, Some(row.switch), seed)?;
+                let told = format!("breaks {caught:?}; {hits} {what}");
                 table.ask(
                     format!("  {}", row.switch),
                     format!("breaks rule {}", row.rule),
@@ -245,7 +284,11 @@
             ),
         }
     }
-    let (one, two, other) = (recorded(seed)?, recorded(seed)?, recorded(seed + 1)?);
+    let plays = [seed, seed, seed + 1];
+    let [one, two, other] = std::thread::scope(|scope| {
+        plays.map(|seed| scope.spawn(move || recorded(seed, drawn(seed)))).map(super::lane)
+    });
+    let (one, two, other) = (one?, two?, other?);
     let differ = difference(&one, &two);
     let told = differ.clone().unwrap_or_else(|| format!("{} decisions, the same", one.len()));
     table.ask("the same seed twice", "the same recording", told, differ.is_none() && !one.is_empty());
