make faulty, make earlier: programs are copied beside their place and renamed

Seen: two proofs at once fail, as `make faulty` copies over a program that runs (cp: Text file busy). Likewise `make earlier`.

Change: cp to a name of the shell's own beside it, then mv. Also, `make faulty` built the faulty router in the place of the real one, target/release/ladderpass, for a moment: another proof could start that as the real one, or its own copy could be of the real one. It has a target directory of its own now, target/faulty/build, whose dependencies are built once more. `make earlier` had one for all commits, where two at once could copy each other's: one for each commit now.

--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,9 @@
 # Proofs that tell faulty builds apart.
 FAULTED = faults membership fleet-overload fleet-budgets
 SEED = 1
+# A program is copied beside its place and then renamed: one that runs can't be written over, and nobody
+# starts half of one.
+put = cp $(1) $(2).$$$$ && mv -f $(2).$$$$ $(2)
 
 build:
 	cargo build --release --locked
@@ -39,16 +42,16 @@
 chaos: lab
 	target/release/ladderpass-lab chaos --minutes $(MINUTES) --seed $(SEED)
 
-# A router with switches to break the rules by, for the proof of the checkers alone; then the real one again.
+# A router with switches to break the rules by, for the proof of the checkers alone. It is built apart: the
+# real one stays where it is while other proofs run it.
 faulty:
 	mkdir -p target/faulty
-	cargo build --release --locked -p ladderpass --features faulty
-	cp target/release/ladderpass target/faulty/ladderpass
-	cargo build --release --locked -p ladderpass
+	cargo build --release --locked -p ladderpass --features faulty --target-dir target/faulty/build
+	$(call put,target/faulty/build/release/ladderpass,target/faulty/ladderpass)
 
 # Builds the earlier program, so that `prove` measures beside it too: make earlier NAME=membership.
 earlier:
 	mkdir -p $(dir $(BEFORE))
 	test -d target/earlier/$(EARLIER)/tree || git worktree add --force --detach target/earlier/$(EARLIER)/tree $(EARLIER)
-	cd target/earlier/$(EARLIER)/tree && cargo build --release --locked --target-dir ../../build
-	cp target/earlier/build/release/ladderpass $(BEFORE)
+	cd target/earlier/$(EARLIER)/tree && cargo build --release --locked --target-dir ../build
+	$(call put,target/earlier/$(EARLIER)/build/release/ladderpass,$(BEFORE))
