Tests of thirteen blocks under src/ stand in tests/ of their crates

A move and nothing else: the same assertions. concert's word, deployment's operator and whisper, faults' datagrams, plan and stream, fleet's model and scenario, lab's joint and drill (two blocks in one file), membership's message, overload's costs.

Visible for them: `ladderpass_concert::FORM`, `ladderpass_membership::{Kind, Message, Word}`, `whisper::{WORDS, WORD_LETTERS}` and `Model::at_work` (new, in place of a look at private members), all hidden from the docs; `Plan::check` is public.

--- a/crates/ladderpass-concert/src/lib.rs
+++ b/crates/ladderpass-concert/src/lib.rs
@@ -10,4 +10,6 @@
 mod word;
 
 pub use concert::{Concert, Facts, Faulty, Figures, lot};
+#[doc(hidden)]
+pub use word::FORM;
 pub use word::{Told, Word, read, write};
--- a/crates/ladderpass-deployment/src/whisper.rs
+++ b/crates/ladderpass-deployment/src/whisper.rs
@@ -10,7 +10,8 @@
 pub const MOST: usize = 25;
 const LETTERS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
 const MARK_LETTERS: usize = 5;
-const WORD_LETTERS: usize = 10;
+#[doc(hidden)]
+pub const WORD_LETTERS: usize = 10;
 /// The last letter: zero for nothing, the lower half for a stretch, the upper one for what it holds, in steps of
 /// a quarter of a doubling.
 const STEPS: f64 = 4.0;
@@ -54,7 +55,8 @@
 
 /// A node's mark, what is said of it, a time from the common zero, its stretch, or what it holds.
 pub type Told = (u32, Word, Span, f64, Option<f64>);
-const WORDS: [Word; 3] = [Word::Replica, Word::Primary, Word::Lost];
+#[doc(hidden)]
+pub const WORDS: [Word; 3] = [Word::Replica, Word::Primary, Word::Lost];
 
 fn put(text: &mut String, number: u64, letters: usize) {
     for nth in (0..letters).rev() {
@@ -108,37 +110,3 @@
     });
     Some((take(zone)? as u32, words))
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_word_comes_back_as_it_was_told_or_a_little_older() {
-        for (mark, told_ms, now_ms) in [(0, 0, 0), (1 << 29, 5, 9), (12_345, 9_000_000, 9_000_100)] {
-            let at = Span::from_nanos(told_ms * 1_000_000 + 999_999);
-            for word in WORDS {
-                let text = write(63, [(mark, word, at, 2.0, None)].into_iter());
-                assert_eq!(text.len(), 1 + WORD_LETTERS);
-                let (zone, words) = read(&text, Span::from_millis(now_ms + 1)).unwrap();
-                assert_eq!(
-                    (zone, words.collect()),
-                    (63, vec![(mark, word, Span::from_millis(told_ms), 2.0, None)])
-                );
-            }
-        }
-        let full = write(0, (0..MOST as u32).map(|mark| (mark, Word::Lost, Span::ZERO, 1e9, Some(1e9))));
-        assert!(full.len() <= 256);
-    }
-
-    #[test]
-    fn what_cannot_be_read_is_dropped() {
-        let good = write(1, [(7, Word::Replica, Span::from_millis(3), 0.0, Some(3.0))].into_iter());
-        for text in ["", "short", "\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}", "#########", "AAAA AAAA"] {
-            let count = |text: &str| read(text, Span::from_millis(9)).map_or(0, |(_, words)| words.count());
-            assert_eq!(count(&format!("B{text}")), 0, "{text}");
-            assert_eq!(count(&format!("{good}{text}")), 1, "{text}");
-        }
-        assert!(read("", Span::ZERO).is_none() && read("\u{e9}", Span::ZERO).is_none());
-    }
-}
--- /dev/null
+++ b/crates/ladderpass-faults/tests/plan.rs
@@ -0,0 +1,38 @@
+//! Plans: what is refused names its key, and a seed draws the same rules each time.
+
+use ladderpass_faults::Plan;
+
+const LINK: &str = "links: [{name: a, listen: '127.0.0.1:0', to: '127.0.0.1:5432'}]\n";
+
+#[test]
+fn a_fault_names_its_key() {
+    for (text, wanted) in [
+        ("links: [{name: a, listen: '127.0.0.1:0', to: '10.0.0.1:5432'}]", "links[0].to"),
+        ("links: [{name: a, listen: here, to: '127.0.0.1:5432'}]", "listen"),
+        ("rules: [{name: a, do: explode}]", "explode"),
+        ("rules: [{name: a, do: {delay: {ms: -1}}}]", "do.delay.ms"),
+        ("rules: [{name: a, when: {message: Row}, do: drop}]", "when.message"),
+        ("rules: [{name: a, when: {seen: b}, do: drop}]", "when.seen"),
+        ("rules: [{name: a, when: {nth: 0}, do: drop}]", "counted from 1"),
+        ("rules: [{name: a, do: refuse}]", "when.opens"),
+        ("rules: [{name: a, when: {opens: true, byte: 3}, do: refuse}]", "no messages"),
+        ("rules: [{name: a, link: z, do: drop}]", "link"),
+        ("rules: [{name: a, do: drop}, {name: a, do: drop}]", "twice"),
+        ("colour: red", "colour"),
+    ] {
+        let fault = Plan::read(text).expect_err(text);
+        assert!(fault.contains(wanted) && !fault.contains('\n'), "{text}: {fault}");
+    }
+}
+
+#[test]
+fn a_plan_reads_and_the_same_seed_draws_the_same() {
+    let rules = "rules:\n  - {name: lost, link: a, when: {message: CommandComplete, holds: INSERT, nth: 3}, do: swallow}\n  \
+                 - {name: slow, when: {from: client, seen: lost}, do: {delay: {ms: 20, spread: exponential}}, times: 0}\n";
+    let plan = Plan::read(&format!("{LINK}{rules}")).expect("allowed");
+    assert_eq!((plan.rules.len(), plan.rules[1].times), (2, 0));
+    let (one, two) = (Plan::drawn(5, 20, plan.links.clone()), Plan::drawn(5, 20, plan.links.clone()));
+    assert_eq!(one, two);
+    assert_ne!(one.rules, Plan::drawn(6, 20, plan.links).rules);
+    assert_eq!(one.check(), Ok(()));
+}
--- /dev/null
+++ b/crates/ladderpass-faults/tests/stream.rs
@@ -0,0 +1,56 @@
+//! Messages in a stream of bytes, however these are sliced.
+
+use ladderpass_faults::stream::{Scanner, Unit, WHOLE};
+use ladderpass_faults::{Side, Talk};
+use quickcheck::quickcheck;
+
+fn frame(kind: u8, body: &[u8]) -> Vec<u8> {
+    [&[kind][..], &(body.len() as u32 + 4).to_be_bytes(), body].concat()
+}
+
+fn units(talk: Talk, side: Side, bytes: &[u8], slices: &[u8]) -> Vec<Unit> {
+    let mut scanner = Scanner::new(talk, side);
+    let (mut rest, mut found, mut nth) = (bytes, Vec::new(), 0);
+    while !rest.is_empty() {
+        let count = slices.get(nth).map_or(rest.len(), |&slice| usize::from(slice) + 1).min(rest.len());
+        found.extend(scanner.feed(&rest[..count]));
+        rest = &rest[count..];
+        nth += 1;
+    }
+    found.extend(scanner.end());
+    found
+}
+
+#[test]
+fn kinds_are_told_and_what_is_no_message_passes() {
+    let startup = [&12u32.to_be_bytes()[..], &[0, 3, 0, 0], &[0; 4]].concat();
+    let bytes = [startup, frame(b'Q', b"x\0"), frame(b'X', b"")].concat();
+    let kinds: Vec<_> =
+        units(Talk::Postgres, Side::Client, &bytes, &[]).iter().map(|unit| unit.kind).collect();
+    assert_eq!(kinds, ["Startup", "Query", "Terminate"]);
+    let bytes = [frame(b'T', b"1"), frame(b'D', b"22"), b"\x07noise".to_vec()].concat();
+    let found = units(Talk::Postgres, Side::Server, &bytes, &[]);
+    let kinds: Vec<_> = found.iter().map(|unit| (unit.kind, unit.at)).collect();
+    assert_eq!(kinds, [("RowDescription", 0), ("DataRow", 6), ("bytes", 13)]);
+    let bytes = b"HTTP/1.1 200 OK\r\n\r\n5\r\nhello\r\n1\r\n\n\r\nzz\r\n";
+    let kinds: Vec<_> = units(Talk::Http, Side::Server, bytes, &[]).iter().map(|unit| unit.kind).collect();
+    assert_eq!(kinds, ["Head", "Chunk", "Chunk", "bytes"]);
+    // One too long to be held passes, and what comes after it is found again.
+    let bytes = [frame(b'D', &vec![0; WHOLE * 2]), frame(b'Z', b"I")].concat();
+    let found = units(Talk::Postgres, Side::Server, &bytes, &[255; 10]);
+    assert_eq!(found.last().map(|unit| unit.kind), Some("ReadyForQuery"));
+}
+
+quickcheck! {
+    /// However the bytes are sliced, the messages are the same, and nothing is lost or added.
+    fn slices_change_nothing(bodies: Vec<Vec<u8>>, junk: Vec<u8>, slices: Vec<u8>) -> bool {
+        let kinds = b"TDCZESI";
+        let frames = bodies.iter().enumerate().flat_map(|(nth, body)| frame(kinds[nth % kinds.len()], body));
+        let bytes: Vec<u8> = frames.chain(junk).collect();
+        let whole = units(Talk::Postgres, Side::Server, &bytes, &[]);
+        let sliced = units(Talk::Postgres, Side::Server, &bytes, &slices);
+        let same = |units: &[Unit]| units.iter().filter(|u| !matches!(u.kind, "bytes" | "rest")).cloned().collect::<Vec<_>>();
+        let text = |units: &[Unit]| units.iter().flat_map(|unit| unit.bytes.clone()).collect::<Vec<u8>>();
+        same(&whole) == same(&sliced) && text(&whole) == bytes && text(&sliced) == bytes
+    }
+}
--- a/crates/ladderpass-lab/src/drill/play.rs
+++ b/crates/ladderpass-lab/src/drill/play.rs
@@ -658,18 +658,3 @@
         names: rest.split(';').filter_map(name).collect(),
     })
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_view_is_read_from_the_log() {
-        let line = "2026-12-01T22:15:30.250000Z  INFO ladderpass::reducer: fleet: view 00ff0a1b of 7, this is 2; 127.0.0.1:7 died; 127.0.0.2:9 is back; 3 more";
-        let view = viewed(line).expect("a view");
-        assert_eq!((view.digest, view.count, view.names.len()), (0xff0a1b, 7, 2));
-        assert_eq!(view.names[1].1, "is back");
-        assert_eq!(view.at.nanos() % 1_000_000_000, 250_000_000);
-        assert_eq!(viewed("2026-12-01T22:15:30Z INFO x: fleet: 7 alive"), None);
-    }
-}
--- a/crates/ladderpass-membership/src/lib.rs
+++ b/crates/ladderpass-membership/src/lib.rs
@@ -13,5 +13,7 @@
 
 pub use detector::{Counts, Membership, Own, View, number_of};
 pub use message::{FIRST, Incarnation};
+#[doc(hidden)]
+pub use message::{Kind, Message, Word};
 pub use settings::{Faulty, Settings};
 pub use table::{Change, Peer, State, Sure};
