check, start and SIGHUP tell all faults at once: file, line, key and what is allowed

Cause: Launch::read ended at the first fault of the variables, then of the JSON, then of the operator's file; operator::read likewise within.

Change: faults are gathered (ladderpass-deployment's Faults, a line each, 100 at most) over all three. A fault of the JSON names its path, one of the operator's file its line, key and what is allowed, as before. The YAML reader ends at the first key that it can't read: that key and what stands below it are left out, and the rest is read again, at most 50 times; what is wrong only together with a key that was left out (missing, or not to be combined) is not told then. A text that is no YAML is one fault. Exit codes are as they were. Of the JSON's `settings`, and of its form, the first fault is told as before.

Tests: crates/ladderpass/tests/check.rs (3) and two in ladderpass-deployment/tests/operator.rs. No test before was changed.

--- a/crates/ladderpass-deployment/src/lib.rs
+++ b/crates/ladderpass-deployment/src/lib.rs
@@ -3,10 +3,12 @@
 //!
 //! It must never decide anything, nor hold a value that the settings don't give.
 
+pub mod faults;
 pub mod names;
 pub mod operator;
 pub mod whisper;
 
+pub use faults::Faults;
 use ladderpass_core::{Deployment, Effect, Level, Method, RoleInList, Span, Time};
 use serde::{Deserialize, Deserializer};
 use serde_json::Value;
--- a/crates/ladderpass-deployment/tests/operator.rs
+++ b/crates/ladderpass-deployment/tests/operator.rs
@@ -66,3 +66,48 @@
         assert!(!fault.contains('\n'), "{fault}");
     }
 }
+
+/// Lines of the faults that a text has, in their order.
+fn lines_of(text: &str) -> Vec<usize> {
+    let told = read(text).expect_err(text);
+    let line =
+        |fault: &str| fault.strip_prefix("line ").and_then(|rest| rest.split_once(':')?.0.parse().ok());
+    let line = |fault: &str| line(fault).unwrap_or_else(|| panic!("{told}"));
+    let mut lines: Vec<usize> = told.lines().map(line).collect();
+    lines.sort_unstable();
+    lines
+}
+
+#[test]
+fn all_faults_are_named_and_none_that_only_follows_from_another() {
+    for (text, wanted) in [
+        ("log:\n  format: xml\n  figures: 1\noverload:\n  fair: 0\n  look: 1ms", &[2, 3, 5, 6][..]),
+        // Keys that can't be read, of each section, with what stands below them.
+        ("overlaod:\n  fair: 0\nlog:\n  colour: red\n  format: xml", &[1, 4, 5]),
+        ("overload:\n  memory:\n    full: lots\n    from: 7\n  fair: 0", &[3, 4, 5]),
+        ("a: 1\nb:\n- 2\n- 3\nc: 4\nlog: {format: xml}", &[1, 2, 5, 6]),
+        ("members:\n  sizes: big\n  zone: ''", &[2, 3]),
+        // Where a key was wrong, it is not missing; nor is what goes with it.
+        ("peers:\n  listen: [1]\n  listed: [127.0.0.1:1, there]", &[2, 3]),
+        ("peers:\n  listen: here\n  listed: [127.0.0.1:1]\nfleet:\n  sheds: true", &[2]),
+        ("peers:\n  colour: red\nfleet:\n  sheds: 3\n  budgets: true", &[2, 4]),
+        ("overload:\n  delay:\n    from: 5\n    full: 2ms", &[3]),
+        ("overload:\n  delay:\n    from: {}\n    full: 2ms", &[3]),
+        ("peers:\n  me: 0\n  all: [here, there]", &[3, 3]),
+        ("peers:\n  me: one\n  all: [127.0.0.1:1, 127.0.0.1:2]", &[2]),
+    ] {
+        assert_eq!(lines_of(text), wanted, "{text:?}: {:?}", read(text));
+    }
+    // What is no YAML has no keys to go by.
+    assert_eq!(read("overload:\n  fair: 0\nlog: [").expect_err("cut").lines().count(), 1);
+}
+
+#[test]
+fn a_file_that_is_wrong_throughout_is_told_within_bounds() {
+    let text: String = (0..1000).map(|n| format!("wrong_{n}: 1\n")).collect();
+    let count = read(&text).expect_err("wrong").lines().count();
+    assert!((10..=100).contains(&count), "{count}");
+    let listed: Vec<String> = (0..1000).map(|n| format!("'there {n}'")).collect();
+    let text = format!("peers: {{listen: '127.0.0.1:1', listed: [{}]}}", listed.join(", "));
+    assert_eq!(read(&text).expect_err("wrong").lines().count(), 100);
+}
--- a/crates/ladderpass/src/launch.rs
+++ b/crates/ladderpass/src/launch.rs
@@ -7,15 +7,19 @@
 use crate::faulty::{self, Faulty};
 use crate::limits::Limits;
 use ladderpass_core::Span;
-use ladderpass_deployment::Facts;
 use ladderpass_deployment::operator::{self, Operator};
+use ladderpass_deployment::{Facts, Faults};
 use ladderpass_overload::Allowance;
 use serde::Deserialize;
 use serde_json::Value;
 use std::fmt::Write;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::path::Path;
 
+/// In place of an address that is missing or wrong, while the rest is looked through; nothing is started with
+/// it.
+const NOWHERE: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0));
+
 #[derive(Debug)]
 pub struct Launch {
     pub discovery: SocketAddr,
@@ -77,27 +81,40 @@
 }
 
 impl Launch {
-    /// From the variables that `variable` gives, and the file that one of them names.
+    /// From the variables that `variable` gives, and the file that one of them names. What is wrong is told
+    /// whole, a line a fault.
     pub fn read(variable: impl Fn(&str) -> Option<String>, own: Option<&Path>) -> Result<Launch, String> {
-        let need = |key: &str| {
+        let mut faults = Faults::default();
+        let need = |key: &str, allowed: &str| {
             let value = variable(key).filter(|value| !value.is_empty());
-            value.ok_or_else(|| format!("{key}: not set"))
+            value.ok_or_else(|| format!("{key}: not set; needed is {allowed}"))
         };
-        let name = need("RELAY_NAME")?;
-        let listen = address("RELAY_LISTEN", &need("RELAY_LISTEN")?)?;
-        let discovery = address("RELAY_DISCOVERY", &need("RELAY_DISCOVERY")?)?;
-        let path = need("RELAY_CONFIG")?;
-        let text =
-            std::fs::read_to_string(&path).map_err(|fault| format!("RELAY_CONFIG: {path}: {fault}"))?;
-        let mut launch =
-            Launch::of(name, listen, discovery, &text).map_err(|fault| format!("RELAY_CONFIG: {fault}"))?;
-        launch.faulty = Faulty::read(variable("LADDERPASS_FAULTY"))?;
-        launch.clock = faulty::clock(variable("LADDERPASS_CLOCK_MS"))?;
-        if let Some(path) = own {
-            let fault = |fault: String| format!("{}: {fault}", path.display());
-            let text = std::fs::read_to_string(path).map_err(|error| fault(error.to_string()))?;
-            launch.operator = operator::read(&text).map_err(fault)?;
-        }
+        let place = |key: &str| need(key, "address:port").and_then(|text| address(key, &text));
+        let name = faults.keep(need("RELAY_NAME", "the router's name")).unwrap_or_default();
+        // Where one is wrong, the rest is read for its faults alone.
+        let listen = faults.keep(place("RELAY_LISTEN")).unwrap_or(NOWHERE);
+        let discovery = faults.keep(place("RELAY_DISCOVERY")).unwrap_or(NOWHERE);
+        let path = faults.keep(need("RELAY_CONFIG", "the path of a JSON file"));
+        let launch = path.and_then(|path| {
+            let named = |fault: &str| format!("RELAY_CONFIG: {path}: {fault}");
+            let text = std::fs::read_to_string(&path).map_err(|fault| named(&fault.to_string()));
+            let launch = Launch::of(name, listen, discovery, &faults.keep(text)?);
+            faults.keep(launch.map_err(|told| each(&told, named)))
+        });
+        let faulty = faults.keep(Faulty::read(variable("LADDERPASS_FAULTY")));
+        let clock = faults.keep(faulty::clock(variable("LADDERPASS_CLOCK_MS")));
+        let operator = own.and_then(|path| {
+            let named = |fault: &str| format!("{}: {fault}", path.display());
+            let text = std::fs::read_to_string(path).map_err(|fault| named(&fault.to_string()));
+            let operator = operator::read(&faults.keep(text)?);
+            faults.keep(operator.map_err(|told| each(&told, named)))
+        });
+        faults.none()?;
+        let (Some(mut launch), Some(faulty), Some(clock)) = (launch, faulty, clock) else {
+            return Err("RELAY_CONFIG: could not be read".into());
+        };
+        (launch.faulty, launch.clock) = (faulty, clock);
+        launch.operator = operator.unwrap_or_default();
         // The platform's protocol has no messages between routers: they need addresses of the operator's.
         let deployment = &mut launch.facts.deployment;
         deployment.peers = launch.operator.peers.is_some();
@@ -200,28 +217,32 @@
 
     fn of(name: String, listen: SocketAddr, discovery: SocketAddr, text: &str) -> Result<Launch, String> {
         let told: Told = ladderpass_deployment::parse(&mut serde_json::Deserializer::from_str(text))?;
+        let mut faults = Faults::default();
         let seed = u64::from_str_radix(&told.seed, 16)
-            .map_err(|_| format!("seed: {:?} is not a number in hex of at most 64 bits", told.seed))?;
+            .map_err(|_| format!("seed: {:?} is not a number in hex of at most 64 bits", told.seed));
+        let seed = faults.keep(seed).unwrap_or_default();
         let discovery = match &told.discovery {
-            Some(text) => address("discovery", text)?,
+            Some(text) => faults.keep(address("discovery", text)).unwrap_or(NOWHERE),
             None => discovery,
         };
         if told.limits.memory_mb == 0 || told.limits.memory_mb > 1 << 30 {
-            return Err("limits.memory_mb: must be above 0, and at most 1073741824".into());
+            faults.tell("limits.memory_mb: must be above 0, and at most 1073741824".into());
         }
         if told.limits.sockets < 64 {
-            return Err(format!("limits.sockets: {} is less than the 64 needed", told.limits.sockets));
+            faults.tell(format!("limits.sockets: {} is less than the 64 needed", told.limits.sockets));
+        }
+        let cores = told.limits.cores.unwrap_or(1.0);
+        if !(cores > 0.0 && cores <= 1024.0) {
+            faults.tell(format!("limits.cores: {cores} is not above 0 and up to 1024"));
         }
-        let mut facts =
-            ladderpass_deployment::read(&told.settings).map_err(|fault| format!("settings.{fault}"))?;
+        let facts = ladderpass_deployment::read(&told.settings).map_err(|fault| format!("settings.{fault}"));
+        let facts = faults.keep(facts);
+        faults.none()?;
+        let Some(mut facts) = facts else { return Err("settings: could not be read".into()) };
         let limits = Limits::of(told.limits.memory_mb, told.limits.sockets, &facts);
         // Guards rule 3 where the settings say that lists are pushed: on sockets nothing comes unasked. There what
         // discovery has counts as told at once, so a watch that was lost has to be back within the grace.
         facts.deployment.must_ask.get_or_insert(facts.drain_grace.unwrap_or(limits.told_within));
-        let cores = told.limits.cores.unwrap_or(1.0);
-        if !(cores > 0.0 && cores <= 1024.0) {
-            return Err(format!("limits.cores: {cores} is not above 0 and up to 1024"));
-        }
         let allowance = Allowance {
             cores,
             memory: usize::try_from(told.limits.memory_mb << 20).unwrap_or(usize::MAX),
@@ -246,5 +267,10 @@
 }
 
 fn address(key: &str, text: &str) -> Result<SocketAddr, String> {
-    text.parse().map_err(|_| format!("{key}: {text:?} is no address and port"))
+    text.parse().map_err(|_| format!("{key}: {text:?} is no address and port; allowed is address:port"))
+}
+
+/// Each line of what was told, put as `named` puts it.
+fn each(told: &str, named: impl Fn(&str) -> String) -> String {
+    told.lines().map(named).collect::<Vec<_>>().join("\n")
 }
--- a/crates/ladderpass/src/main.rs
+++ b/crates/ladderpass/src/main.rs
@@ -66,7 +66,7 @@
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
-            tracing::error!("{fault}");
+            fault.lines().for_each(|fault| tracing::error!("{fault}"));
             ExitCode::FAILURE
         }
     }
--- a/crates/ladderpass/src/sockets.rs
+++ b/crates/ladderpass/src/sockets.rs
@@ -231,7 +231,9 @@
     fn read_again(&mut self) {
         match Launch::read(|key| std::env::var(key).ok(), self.operator.as_deref()) {
             Ok(launch) => self.apply(Event::Told(Box::new(launch))),
-            Err(fault) => tracing::error!("told anew, kept as it was: {fault}"),
+            Err(faults) => {
+                faults.lines().for_each(|fault| tracing::error!("told anew, kept as it was: {fault}"));
+            }
         }
     }
 
--- /dev/null
+++ b/crates/ladderpass/tests/check.rs
@@ -0,0 +1,105 @@
+//! `ladderpass check` and a start that is told wrong: all faults at once, each one line with where it stands.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+/// A file of a test's own.
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("check-{name}-{}", std::process::id()));
+    std::fs::write(&path, text).expect("writes");
+    path
+}
+
+/// With these variables and no others of the router's.
+fn run(variables: &[(&str, &str)], arguments: &[&str]) -> (Vec<String>, Output) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_ladderpass"));
+    for key in ["RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY", "RELAY_CONFIG", "RUST_LOG"] {
+        command.env_remove(key);
+    }
+    let output = command.envs(variables.iter().copied()).args(arguments).output().expect("it starts");
+    let lines = String::from_utf8_lossy(&output.stderr).lines().map(str::to_owned).collect();
+    (lines, output)
+}
+
+const OPERATOR: &str = "log:\n  format: xml\noverlaod: {}\noverload:\n  delay:\n    from: 5\n  \
+                        dealy: {from: 1ms}\n  fair: 0\npeers:\n  listen: here\n  listed: [127.0.0.1:1, there]\n";
+
+/// Line, key, and what is allowed, of each of them.
+const WANTED: [[&str; 3]; 7] = [
+    ["line 2: ", "log.format", "text and json"],
+    ["line 3: ", "overlaod", "allowed are log, overload, peers"],
+    ["line 6: ", "overload.delay.from", "written with their unit"],
+    ["line 7: ", "dealy", "allowed are enabled, delay, cpu"],
+    ["line 8: ", "overload.fair", "1 to 1000"],
+    ["line 10: ", "peers.listen", "address:port"],
+    ["line 11: ", "peers.listed", "address:port"],
+];
+
+#[test]
+fn what_is_not_set_hides_no_fault_of_the_operators_file() {
+    let path = file("operator", OPERATOR);
+    let path_text = path.to_str().expect("plain");
+    let (faults, output) = run(&[], &["check", "--operator", path_text]);
+    assert_eq!((output.status.code(), output.stdout.len()), (Some(1), 0));
+    let variables = ["RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY", "RELAY_CONFIG"];
+    for key in variables {
+        assert!(
+            faults.iter().any(|fault| fault.starts_with(&format!("{key}: not set"))),
+            "{key}: {faults:#?}"
+        );
+    }
+    for wanted in WANTED {
+        let named = |fault: &&String| {
+            fault.starts_with(&format!("{path_text}: {}", wanted[0]))
+                && wanted.iter().all(|part| fault.contains(part))
+        };
+        assert_eq!(faults.iter().filter(named).count(), 1, "{wanted:?}: {faults:#?}");
+    }
+    assert_eq!(faults.len(), variables.len() + WANTED.len(), "{faults:#?}");
+    std::fs::remove_file(path).expect("its own file");
+}
+
+#[test]
+fn faults_of_the_platforms_file_stand_beside_the_others() {
+    let operator = file("beside", "overload: {fair: 0}\n");
+    let platform = file(
+        "platform",
+        r#"{"seed": "xx", "limits": {"memory_mb": 0, "sockets": 3, "cores": 0},
+            "known": {"generation": 1, "instances": []}, "settings": {}}"#,
+    );
+    let (operator_text, platform_text) =
+        (operator.to_str().expect("plain"), platform.to_str().expect("plain"));
+    let variables = [("RELAY_NAME", "r"), ("RELAY_LISTEN", "nowhere"), ("RELAY_DISCOVERY", "127.0.0.1:1")];
+    let variables = [&variables[..], &[("RELAY_CONFIG", platform_text)]].concat();
+    let (faults, output) = run(&variables, &["--operator", operator_text, "check"]);
+    assert_eq!(output.status.code(), Some(1));
+    let of_platform = |key: &str| format!("RELAY_CONFIG: {platform_text}: {key}: ");
+    let wanted = [
+        "RELAY_LISTEN: \"nowhere\"".to_owned(),
+        of_platform("seed"),
+        of_platform("limits.memory_mb"),
+        of_platform("limits.sockets"),
+        of_platform("limits.cores"),
+        format!("RELAY_CONFIG: {platform_text}: settings."),
+        format!("{operator_text}: line 1: overload.fair: "),
+    ];
+    assert_eq!(faults.len(), wanted.len(), "{faults:#?}");
+    for (fault, wanted) in faults.iter().zip(wanted) {
+        assert!(fault.starts_with(&wanted), "{wanted}: {faults:#?}");
+    }
+    // The same at a start, in the log.
+    let (log, output) = run(&variables, &["--operator", operator_text]);
+    assert_eq!((output.status.code(), log.len()), (Some(1), faults.len()), "{log:#?}");
+    for path in [operator, platform] {
+        std::fs::remove_file(path).expect("its own file");
+    }
+}
+
+#[test]
+fn a_file_that_is_not_there_is_named() {
+    let (faults, output) = run(&[("RELAY_CONFIG", "/dev/null/a")], &["check", "--operator", "/dev/null/b"]);
+    assert_eq!(output.status.code(), Some(1));
+    for wanted in ["RELAY_CONFIG: /dev/null/a: ", "/dev/null/b: "] {
+        assert!(faults.iter().any(|fault| fault.starts_with(wanted)), "{wanted}: {faults:#?}");
+    }
+}
