CancelRequest is honoured, with keys from chance

Before: read and dropped (clients.rs, pg::Opening::Cancel), and the key of the welcome was the connection's number twice.

Key: process id (the connection's number, from which the connection is found: no map is kept) and a secret, a keyed hash (SipHash) of that number under a key of this process from the system's chance; launch.seed is a set one and would do for who reads the file. Compared in constant time. Wrong or unknown: closed, nothing told, as with the right one.

A cancel hits the statement that is under way. Nothing of it out (held, its connection coming up, its query not written whole): one final answer at once, 57014, Rpc::left in the core, the call-out taken back; 58000 for a write of which an earlier call-out may have run. Out: marked; its outcome goes to the core as one that may not be followed (unpaid): a good answer is passed on, else pushback becomes 57014, and abort stays 58000, as the core has it by the method. What stands behind it on the connection goes on.

Tests: four in rules.rs, one over loopback, cancels in the random runs (right key and wrong), and 625 of the 2,000 in the burst; before, a cancel had no effect and the tests could not pass (not run there: the welcome had no such key). In the random runs one choice of two (leave, junk) is one of four (cancel, leave, junk twice).

--- a/crates/ladderpass/src/pg.rs
+++ b/crates/ladderpass/src/pg.rs
@@ -16,7 +16,8 @@
     Startup,
     /// It asks for TLS or GSS encryption; the answer is one byte, no.
     Encryption,
-    Cancel,
+    /// It asks to cancel what the connection with this process id and secret key is about.
+    Cancel(u32, u32),
 }
 
 const STARTUP: u32 = 196_608;
@@ -38,7 +39,10 @@
     let Some(message) = bytes.get(..length) else { return Ok(None) };
     let opening = match message.get(4..).and_then(number) {
         Some(TLS | GSS) if length == 8 => Opening::Encryption,
-        Some(CANCEL) if length == 16 => Opening::Cancel,
+        Some(CANCEL) if length == 16 => {
+            let part = |from| message.get(from..).and_then(number).ok_or(Malformed);
+            Opening::Cancel(part(8)?, part(12)?)
+        }
         // Names and values, each ended by a zero; after the last a further zero.
         Some(code) if code >> 16 == STARTUP >> 16 && message.ends_with(&[0]) => Opening::Startup,
         _ => return Err(Malformed),
@@ -318,8 +322,8 @@
     put_ready(out);
 }
 
-/// What welcomes a client.
-pub fn put_welcome(out: &mut Vec<u8>, key: u32) {
+/// What welcomes a client; with both it may ask to cancel what it is about.
+pub fn put_welcome(out: &mut Vec<u8>, process: u32, secret: u32) {
     put(out, b'R', &[&[0; 4]]);
     for (name, value) in [
         ("server_version", "16.0"),
@@ -331,7 +335,7 @@
     ] {
         put(out, b'S', &[name.as_bytes(), b"\0", value.as_bytes(), b"\0"]);
     }
-    put(out, b'K', &[&key.to_be_bytes(), &key.to_be_bytes()]);
+    put(out, b'K', &[&process.to_be_bytes(), &secret.to_be_bytes()]);
     put_ready(out);
 }
 
--- a/crates/ladderpass/src/reducer.rs
+++ b/crates/ladderpass/src/reducer.rs
@@ -36,7 +36,7 @@
 mod watch;
 
 use calls::{Call, after};
-use clients::{Client, Ids, Phase, Waiting};
+use clients::{Client, Ids, Keys, Phase, Waiting};
 use members::{Answer, Job, Link, Member};
 use own::Own;
 use peers::Peers;
@@ -129,6 +129,7 @@
     pushed_back: u32,
     aborted: u32,
     left: u32,
+    cancelled: u32,
     /// Statements turned away for a fault of their own, for want of connections, and for the bound of RPCs held.
     faults: u32,
     crowded: u32,
@@ -165,6 +166,7 @@
     /// Names of the values in a load report.
     columns: Vec<String>,
     ids: Ids,
+    keys: Keys,
     session_methods: bool,
     carried: bool,
     discovery: SocketAddr,
@@ -242,6 +244,7 @@
             writes: facts.deployment.methods.iter().map(|method| method.level == Level::Write).collect(),
             columns: facts.columns,
             ids: Ids::default(),
+            keys: Keys::default(),
             session_methods: facts.deployment.methods.iter().any(|m| m.level == Level::Session),
             carried: facts.deployment.carried,
             router: Router::start(now, launch.seed, facts.deployment),
@@ -476,7 +479,7 @@
         let (answers, answer_time) = self.answers();
         let tally = std::mem::replace(&mut self.tally, Tally { told_at: now, ..Tally::default() });
         tracing::info!(
-            "taken {}, pushed back {}, aborted {}, left {}, faulty {}, crowded {}, full {}, shed {}, slow {}; call-outs (ok, failed, overloaded, timed out, unreachable, \
+            "taken {}, pushed back {}, aborted {}, left {}, cancelled {}, faulty {}, crowded {}, full {}, shed {}, slow {}; call-outs (ok, failed, overloaded, timed out, unreachable, \
              broken, withdrawn, void, absent) {:?}, probes {:?}; {} connects of {:.1} ms, ok in {:.1} ms; \
              {} clients ({:?} are waited for: to open, to end, to begin), {} links ({} carry an RPC), {} members, {} rpcs, \
              {} KiB",
@@ -484,6 +487,7 @@
             tally.pushed_back,
             tally.aborted,
             tally.left,
+            tally.cancelled,
             tally.faults,
             tally.crowded,
             tally.full,
--- a/crates/ladderpass/src/reducer/calls.rs
+++ b/crates/ladderpass/src/reducer/calls.rs
@@ -30,6 +30,10 @@
     /// Where `d` stands in its statement.
     pub(super) wait_at: std::ops::Range<usize>,
     pub(super) out: Option<ConnId>,
+    /// An attempt of it may have run without a good answer.
+    pub(super) may_have_run: bool,
+    /// Its client has asked to cancel it: nothing is begun for it any more.
+    pub(super) cancelled: bool,
     /// None but at debug: its life, and its call-outs as events in it.
     pub(super) span: tracing::Span,
 }
@@ -99,9 +103,10 @@
             tracing::debug!(member = outcome.member.0, ended = ?outcome.ended, took_ms, "call-out");
         });
         call.out = None;
+        call.may_have_run |= !outcome.ended.never_ran();
         let answered = call.client.is_none();
-        let unseen = is_unseen(&self.conns, call.client);
-        outcome.unpaid |= unseen;
+        let over = call.cancelled || is_unseen(&self.conns, call.client);
+        outcome.unpaid |= over;
         if outcome.ended == Ended::Ok {
             self.tally.answer_time += outcome.took;
         }
@@ -109,7 +114,7 @@
         if let Some(peers) = &mut self.peers {
             if outcome.ended == Ended::Ok && call.outs > 1 {
                 peers.helped(call.group);
-            } else if !outcome.complete && outcome.ended != Ended::Void && !unseen {
+            } else if !outcome.complete && outcome.ended != Ended::Void && !over {
                 call.paid = peers.pays(call.group, call.rank);
                 outcome.unpaid = !call.paid;
             }
@@ -176,11 +181,11 @@
         self.again.push(id);
     }
 
-    /// Writes the final answer of an RPC that is not served.
+    /// Writes the final answer of an RPC that is not served; `Done`: the core knows it no more, as it was cancelled.
     pub(super) fn finish(&mut self, now: Time, rpc: Rpc, decision: Decision) {
         let Some(call) = self.calls.get_mut(&rpc) else { return };
         let client = call.client.take();
-        let group = call.group;
+        let (group, cancelled) = (call.group, call.cancelled);
         if let (true, Some(peers)) = (std::mem::take(&mut call.paid), &mut self.peers) {
             peers.gives_back(group);
         }
@@ -197,6 +202,11 @@
         }
         let mut out = Vec::new();
         match decision {
+            // Where it may have had an effect the answer says no more than that, cancelled or not.
+            Decision::PushBack { .. } | Decision::Done if cancelled => {
+                self.tally.cancelled += 1;
+                pg::put_refusal(&mut out, "57014", "cancelled at the client's request", None);
+            }
             Decision::PushBack { come_back } => {
                 self.tally.pushed_back += 1;
                 if let Some(peers) = &mut self.peers {
--- a/crates/ladderpass/src/reducer/clients.rs
+++ b/crates/ladderpass/src/reducer/clients.rs
@@ -97,6 +97,28 @@
     until: BTreeMap<i64, Vec<u64>>,
 }
 
+/// Secret keys by which clients may cancel: a keyed hash (SipHash) of the connection's id, with a key that the system's
+/// chance gave this process. Nothing is kept by connection, and who knows some of them knows no other.
+#[derive(Default)]
+pub(super) struct Keys(std::collections::hash_map::RandomState);
+
+impl Keys {
+    pub(super) fn secret(&self, id: ConnId) -> u32 {
+        (std::hash::BuildHasher::hash_one(&self.0, id.0) >> 32) as u32
+    }
+
+    /// Guards the keys against who tries them bit by bit: takes the same time wherever they differ.
+    fn fits(&self, id: ConnId, secret: u32) -> bool {
+        let differs = std::hint::black_box(self.secret(id) ^ secret);
+        differs == 0
+    }
+}
+
+/// By which a client names its connection.
+fn process(id: ConnId) -> u32 {
+    id.0 as u32
+}
+
 /// Width of those steps.
 const STEP: i64 = 128_000_000;
 
@@ -202,6 +224,33 @@
         }
     }
 
+    /// Somebody asks to cancel what a client waits for now. With a key that no connection has nothing happens. What no
+    /// byte of is out is answered at once, and never goes out; what is out is settled by its outcome, with no further
+    /// attempt. What stands behind it goes on.
+    fn cancel(&mut self, now: Time, wanted: u32, secret: u32) {
+        // The newest connection with this process id: those before it are long over.
+        let (last, id) = (self.last_id, u64::from(wanted) | self.last_id & !u64::from(u32::MAX));
+        let id = ConnId(if id > last { id.wrapping_sub(1 << 32) } else { id });
+        let fits = self.keys.fits(id, secret);
+        let Some(Conn { peer: Peer::Client(client), .. }) = self.conns.get(&id).filter(|_| fits) else {
+            return;
+        };
+        let Phase::Busy(rpc) = client.phase else { return };
+        let Some(call) = self.calls.get_mut(&rpc) else { return };
+        call.cancelled = true;
+        let writes = self.writes.get(call.method as usize).copied().unwrap_or(true);
+        let decision = if call.may_have_run && writes { Decision::Abort } else { Decision::Done };
+        let out = call.out;
+        if out.is_some_and(|link| self.is_sent(link)) {
+            return;
+        }
+        self.finish(now, rpc, decision);
+        rpc.left(&mut self.router);
+        if let Some(link) = out {
+            self.withdraw(now, link);
+        }
+    }
+
     pub(super) fn unread(&mut self, id: ConnId) {
         if let Some(conn) = self.conns.get_mut(&id) {
             conn.unread = true;
@@ -268,13 +317,14 @@
                         length
                     }
                     Ok(Some((pg::Opening::Startup, length))) => {
-                        pg::put_welcome(&mut out, id.0 as u32);
+                        pg::put_welcome(&mut out, process(id), self.keys.secret(id));
                         client.phase = Phase::Idle;
                         length
                     }
-                    Ok(Some((pg::Opening::Cancel, _))) => {
-                        close = true;
-                        conn.input.len()
+                    // Told nothing, whatever becomes of it.
+                    Ok(Some((pg::Opening::Cancel(process, secret), _))) => {
+                        self.close_client(now, id);
+                        return self.cancel(now, process, secret);
                     }
                     Err(_) => {
                         pg::put_error(&mut out, "FATAL", "08P01", "malformed startup", None);
@@ -563,6 +613,8 @@
                 paid: false,
                 wait_at,
                 out: None,
+                may_have_run: false,
+                cancelled: false,
                 span,
             },
         );
--- a/crates/ladderpass/src/reducer/members.rs
+++ b/crates/ladderpass/src/reducer/members.rs
@@ -203,6 +203,11 @@
         self.job_ended(now, job, outcome, Report::default());
     }
 
+    /// Its query is out whole: it may run.
+    pub(super) fn is_sent(&self, id: ConnId) -> bool {
+        matches!(self.conns.get(&id).map(|conn| &conn.peer), Some(Peer::Member(link)) if link.up && link.unwritten == 0)
+    }
+
     /// Nobody waits for the answer to a connection's job any more: what is not out whole is taken back. Guards members
     /// against RPCs whose clients have left. A part of a query makes the connection useless, and never runs.
     pub(super) fn withdraw(&mut self, now: Time, id: ConnId) {
--- a/crates/ladderpass/tests/common/mod.rs
+++ b/crates/ladderpass/tests/common/mod.rs
@@ -74,6 +74,17 @@
     [&(body.len() as u32 + 4).to_be_bytes()[..], body].concat()
 }
 
+pub fn cancel((process, secret): (u32, u32)) -> Vec<u8> {
+    [16, 80_877_102, process, secret].into_iter().flat_map(u32::to_be_bytes).collect()
+}
+
+/// Process id and secret key among the frames of a welcome.
+pub fn key_in(frames: &[(u8, Vec<u8>)]) -> (u32, u32) {
+    let (_, body) = frames.iter().find(|(kind, _)| *kind == b'K').expect("the welcome has a key");
+    let number = |from: usize| u32::from_be_bytes(body[from..from + 4].try_into().expect("four bytes"));
+    (number(0), number(4))
+}
+
 /// A row of one column, as a member gives it; position in Unix milliseconds.
 pub fn row(value: &[u8], role: &str, position_ms: u64) -> Vec<u8> {
     let column = [&b"\0\x01"[..], &(value.len() as u32).to_be_bytes(), value].concat();
--- a/crates/ladderpass/tests/endings.rs
+++ b/crates/ladderpass/tests/endings.rs
@@ -565,7 +565,7 @@
     late: usize,
 }
 
-/// 2,000 clients leave in one burst, by a close, a reset, or half of a close, while of six members two hang, two have
+/// 2,000 clients leave in one burst, by a cancel, a close, a reset, or half of a close, while of six members two hang, two have
 /// connections that are still to come up, and one turns away what it has. The router stands still meanwhile for 0.15 s,
 /// and then finds all ends at once, with what the members have said before them: none of what waited is begun, nor a
 /// further attempt made.
@@ -578,11 +578,15 @@
     };
     let mut bed = bed_of(members, wide, |_| {});
     let mut clients: Vec<(usize, TcpStream)> = Vec::new();
+    let mut keys = Vec::new();
     for nth in 0..MANY {
         let mut stream = TcpStream::connect(&bed.address).expect("it listens");
         stream.set_read_timeout(Some(PATIENCE)).expect("it can");
         let asked = statement(&nth.to_string(), if nth % 2 == 0 { "write" } else { "read" }, 60_000, "1");
         stream.write_all(&[startup(), query(&asked)].concat()).expect("the router reads");
+        if nth % 4 == 3 || nth % 16 == 0 {
+            keys.push((nth, welcomed(&mut stream)));
+        }
         clients.push((nth, stream));
     }
     // Members 1 and 2 welcome nobody yet; 0 and 3 get as much as goes out at first, as do 4 and 5, which say no more.
@@ -606,14 +610,22 @@
     assert!(coming[1].len() + coming[2].len() > 4, "some wait for their connection");
     let asked: Vec<String> = out.iter().flatten().map(|(id, _)| id.clone()).collect();
     let unsent: Vec<TcpStream> = (0..20).map(|_| bed.client()).collect();
-    bed.halt();
     let mut kept = Vec::new();
+    for (nth, key) in &keys {
+        cancels(&bed, *key);
+        if !asked.contains(&nth.to_string()) {
+            let at = clients.iter().position(|(other, _)| other == nth).expect("it is there");
+            assert_eq!(rest_of_answer(&mut clients[at].1), (b"EZ".to_vec(), "57014".to_owned()));
+        }
+    }
+    bed.halt();
     for (nth, mut stream) in unsent.into_iter().enumerate() {
         let asked = statement(&format!("unsent-{nth}"), "read", 60_000, "1");
         stream.write_all(&query(&asked)).expect("the kernel takes it");
     }
     for (nth, stream) in clients {
         match nth % 3 {
+            _ if keys.iter().any(|(other, _)| *other == nth) => kept.push(stream),
             0 => drop(stream),
             1 => socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("it can"),
             _ => {
@@ -673,6 +685,47 @@
     bed.passes("1");
 }
 
+/// The welcome is read: with it comes the key by which to cancel.
+fn welcomed(client: &mut TcpStream) -> (u32, u32) {
+    let mut frames = Vec::new();
+    while frames.last().is_none_or(|(kind, _)| *kind != b'Z') {
+        frames.push(next_frame(client).expect("a welcome"));
+    }
+    key_in(&frames)
+}
+
+/// Somebody asks to cancel; once the connection is closed, with nothing told, the router has seen it.
+fn cancels(bed: &Bed, key: (u32, u32)) {
+    let mut other = TcpStream::connect(&bed.address).expect("it listens");
+    other.set_read_timeout(Some(PATIENCE)).expect("it can");
+    other.write_all(&cancel(key)).expect("the router reads");
+    let mut told = Vec::new();
+    other.read_to_end(&mut told).expect("it is closed");
+    assert_eq!(told, b"");
+}
+
+/// Its client cancels it before the connection is up: one answer at once, and it is never sent. The next one is served.
+#[test]
+fn what_is_cancelled_before_the_connection_is_up_is_not_sent_on() {
+    let mut bed = bed(|told| told);
+    let mut client = TcpStream::connect(&bed.address).expect("it listens");
+    client.set_read_timeout(Some(PATIENCE)).expect("it can");
+    client.write_all(&startup()).expect("the router reads");
+    let key = welcomed(&mut client);
+    client.write_all(&query(&write("gone"))).expect("the router reads");
+    let mut link = bed.coming(0);
+    cancels(&bed, (key.0, key.1 ^ 1));
+    cancels(&bed, key);
+    assert_eq!(rest_of_answer(&mut client), (b"EZ".to_vec(), "57014".to_owned()));
+    link.write_all(&welcome()).expect("it reads");
+    bed.links[0].push(link);
+    client.write_all(&query(&write("1"))).expect("the router reads");
+    let (id, link) = bed.asked(0);
+    assert_eq!(id, "1", "the member gets no other RPC");
+    bed.serve(0, link);
+    assert_eq!(rest_of_answer(&mut client).0, b"TDCZ");
+}
+
 /// Held in the core as the primary has enough: who leaves is not sent on when there is room. The figure of `docs/results.md`.
 #[test]
 fn clients_that_leave_while_they_are_held_are_not_sent_on() {
--- a/crates/ladderpass/tests/rules.rs
+++ b/crates/ladderpass/tests/rules.rs
@@ -122,7 +122,12 @@
     }
 
     fn apply(&mut self, event: Event) {
-        for effect in self.reducer.apply(self.now, event) {
+        let effects = self.reducer.apply(self.now, event);
+        self.carry_out(effects);
+    }
+
+    fn carry_out(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
             match effect {
                 Effect::Connect(id, address) if address.port() == 8500 => self.watches.push((id, false)),
                 Effect::Connect(id, _) => {
@@ -267,7 +272,12 @@
             }
             5 => {
                 let Some(id) = self.any(self.clients.keys().copied().collect()) else { return };
-                if self.roll(2) == 0 {
+                let what = self.roll(4);
+                if what == 0 && self.clients[&id].inbox.contains(&b'K') {
+                    let (process, secret) = self.key_of(id);
+                    return self.cancels((process, secret ^ u32::from(self.dice.len().is_multiple_of(3))));
+                }
+                if what < 2 {
                     self.clients.remove(&id);
                     return self.apply(Event::Closed(id));
                 }
@@ -301,6 +311,24 @@
         assert_eq!(out, links, "call-outs that are out, and connections that carry one");
     }
 
+    /// What a client's welcome says.
+    fn key_of(&self, client: ConnId) -> (u32, u32) {
+        key_in(&frames(&self.clients[&client].inbox).0)
+    }
+
+    /// Somebody asks to cancel, on a connection of its own: told nothing, and closed.
+    fn cancels(&mut self, key: (u32, u32)) {
+        let id = self.reducer.next_id();
+        self.apply(Event::Accepted(id));
+        let bytes = cancel(key);
+        self.reducer.room(id)[..bytes.len()].copy_from_slice(&bytes);
+        let mut effects = self.reducer.apply(self.now, Event::Received(id, bytes.len(), Span::ZERO));
+        effects.extend(self.reducer.apply(self.now, Event::Turn));
+        assert!(self.reducer.outgoing(id).is_empty(), "nothing is told");
+        assert!(effects.contains(&Effect::Close(id)), "it is closed");
+        self.carry_out(effects);
+    }
+
     fn pass(&mut self, span: Span) {
         self.now = self.now + span;
         self.apply(Event::Turn);
@@ -848,6 +876,158 @@
     }
 }
 
+/// The answers that a client has, by the types of their frames and the code of an error.
+fn answers_of(world: &World, client: ConnId) -> Vec<(Vec<u8>, String)> {
+    let found = frames(&world.clients[&client].inbox).0;
+    let told = |answer: &[(u8, Vec<u8>)]| {
+        let error =
+            answer.iter().find(|(kind, _)| *kind == b'E').map_or(String::new(), |(_, body)| code(body));
+        (answer.iter().map(|(kind, _)| *kind).collect(), error)
+    };
+    found.split_inclusive(|(kind, _)| *kind == b'Z').skip(1).map(told).collect()
+}
+
+fn served() -> (Vec<u8>, String) {
+    (b"TDCZ".to_vec(), String::new())
+}
+
+fn unserved(code: &str) -> (Vec<u8>, String) {
+    (b"EZ".to_vec(), code.to_owned())
+}
+
+/// Each key is another, and one that differs by a bit, or is of no connection, or comes when nothing is asked, is nothing.
+#[test]
+fn a_cancel_counts_with_the_key_of_its_connection_alone() {
+    let (mut world, client, link) = one_call("read");
+    let (process, secret) = world.key_of(client);
+    for bit in 0..32 {
+        world.cancels((process, secret ^ 1 << bit));
+        world.cancels((process ^ 1 << bit, secret));
+    }
+    let other = world.reducer.next_id();
+    world.clients.insert(other, Client::default());
+    world.apply(Event::Accepted(other));
+    world.hand(other, &startup());
+    world.write(other);
+    let idle = world.key_of(other);
+    assert!(idle.1 != secret && idle.0 != process);
+    world.cancels(idle);
+    world.cancels((process, idle.1));
+    assert_eq!(answers_of(&world, client), []);
+    world.peers.get_mut(&link).expect("it is there").asked = None;
+    world.hand(link, &row(b"7", "follower", 1));
+    world.cancels((process, secret));
+    world.pass(Span::ZERO);
+    assert_eq!((answers_of(&world, client), answers_of(&world, other)), (vec![served()], vec![]));
+}
+
+/// Held as no member has said anything yet: answered at once, and never sent. What stands behind it goes on.
+#[test]
+fn what_is_held_and_cancelled_is_answered_at_once_and_what_stands_behind_it_goes_on() {
+    let mut world = World::new(vec![255; 600]);
+    let client = world.reducer.next_id();
+    let due = vec![world.now + Span::from_millis(2000); 2];
+    let ids = vec!["7".to_owned(), "8".to_owned()];
+    world.clients.insert(client, Client { due, ids, ..Client::default() });
+    world.apply(Event::Accepted(client));
+    let texts = [statement("7", "write", 2000, "1"), statement("8", "write", 2000, "1")];
+    for text in &texts {
+        world.statements.insert(id_and_rest(text).0, (id_and_rest(text).1, true, false));
+    }
+    world.hand(client, &[startup(), query(&texts[0]), query(&texts[1])].concat());
+    world.write(client);
+    assert_eq!(answers_of(&world, client), []);
+    world.cancels(world.key_of(client));
+    assert_eq!(answers_of(&world, client), [unserved("57014")]);
+    for _ in 0..200 {
+        world.pass(Span::from_millis(5));
+        let position = world.now.nanos() as u64 / 1_000_000;
+        for id in world.peers.keys().copied().collect::<Vec<_>>() {
+            let Some(peer) = world.peers.get_mut(&id) else { continue };
+            if !peer.up {
+                world.come_up(id);
+            } else if let Some(asked) = peer.asked.take() {
+                assert_ne!(id_and_rest(&asked).0, "7", "it was cancelled");
+                let report = format!("x0={}.9,x1=1", position / 1000);
+                let value = if asked == "SHOW server_load" { report } else { id_and_rest(&asked).0 };
+                world.feed(id, &row(value.as_bytes(), "leader", position));
+            } else if std::mem::take(&mut peer.fenced) {
+                world.feed(id, &nothing());
+            }
+        }
+    }
+    assert_eq!(answers_of(&world, client), [unserved("57014"), served()]);
+}
+
+/// Its query is not written, or not whole: answered at once, and nothing more of it goes out.
+#[test]
+fn what_is_not_written_whole_when_it_is_cancelled_never_is() {
+    for written in [0, 10] {
+        let (mut world, _, link) = one_call("write");
+        let position = world.now.nanos() as u64 / 1_000_000;
+        world.hand(link, &[row(b"7", "leader", position), nothing()].concat());
+        let client = world.reducer.next_id();
+        let due = vec![world.now + Span::from_millis(2000)];
+        world.clients.insert(client, Client { due, ..Client::default() });
+        world.apply(Event::Accepted(client));
+        world.hand(client, &startup());
+        world.write(client);
+        let bytes = query(&statement("8", "write", 2000, "1"));
+        world.reducer.room(client)[..bytes.len()].copy_from_slice(&bytes);
+        for event in [Event::Received(client, bytes.len(), Span::ZERO), Event::Turn] {
+            world.reducer.apply(world.now, event);
+        }
+        assert!(String::from_utf8_lossy(world.reducer.outgoing(link)).contains("id=8,"));
+        if written > 0 {
+            world.reducer.apply(world.now, Event::Written(link, written));
+        }
+        world.cancels(world.key_of(client));
+        assert_eq!(!world.peers.contains_key(&link), written > 0, "a part makes it useless");
+        assert!(world.reducer.outgoing(link).is_empty(), "nothing of it goes out any more");
+        assert_eq!(world.reducer.carrying(), (0, 0));
+        world.write(client);
+        assert_eq!(answers_of(&world, client), [unserved("57014")]);
+    }
+}
+
+/// What is out is settled by its outcome: served if it is good; else nothing follows it, and the answer says whether it may
+/// have had an effect.
+#[test]
+fn no_attempt_follows_the_one_that_is_out_when_it_is_cancelled() {
+    for (method, ends, wanted) in [
+        ("read", "well", served()),
+        ("write", "well", served()),
+        ("read", "refused", unserved("57014")),
+        ("write", "refused", unserved("57014")),
+        ("read", "broken", unserved("57014")),
+        ("write", "broken", unserved("58000")),
+    ] {
+        let (mut world, client, link) = one_call(method);
+        let position = world.now.nanos() as u64 / 1_000_000;
+        world.cancels(world.key_of(client));
+        world.cancels(world.key_of(client));
+        assert_eq!(answers_of(&world, client), [], "it is out");
+        world.peers.get_mut(&link).expect("it is there").asked = None;
+        match ends {
+            "well" => {
+                world.hand(link, &row(b"7", if method == "read" { "follower" } else { "leader" }, position))
+            }
+            "refused" => world.hand(link, &refused("53300")),
+            _ => {
+                world.peers.remove(&link);
+                world.apply(Event::Closed(link));
+            }
+        }
+        world.pass(Span::ZERO);
+        assert_eq!(answers_of(&world, client), [wanted], "{method} {ends}");
+        for _ in 0..100 {
+            world.pass(Span::from_millis(5));
+            let asked = |peer: &Peer| peer.asked.as_ref().is_some_and(|asked| asked.contains("id=7,"));
+            assert!(!world.peers.values().any(asked), "{method} {ends}: a further attempt");
+        }
+    }
+}
+
 /// Ids of RPCs that are open stay known, however many with a longer time come behind them.
 #[test]
 fn an_id_that_is_open_is_not_forgotten_for_others() {
