--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -101,10 +101,11 @@
 const FORGET: Span = Span::from_millis(30_000);
 /// Evidence of a role younger than this outweighs the list.
 const LIST_LAG: Span = Span::from_millis(10_000);
-/// A failed list call is made again after this long, doubled up to 16 times; the next in this part of it.
+/// A failed list call is made again after this long, doubled up to 8 times, or this part of what is allowed; and so
+/// long after it was made at the latest, however it ends: with an answer's time that fits in 6 s (told).
 const LIST_AGAIN: Span = Span::from_millis(500);
-const LIST_DUE: f64 = 0.4;
-const LIST_ANSWER: Span = Span::from_millis(2000); // the least that an answer to a call is waited for
+const LIST_DUE: f64 = 0.33;
+const LIST_LATEST: Span = Span::from_millis(4000);
 
 /// A router: what one instance knows, and nothing that it shares.
 pub struct Router {
@@ -497,9 +498,10 @@
         let (entries, whole) = match news {
             ListNews::Failed { silent } => {
                 self.ask_failures += u32::from(!silent);
-                let wait = LIST_AGAIN * f64::from(1 << self.ask_failures.min(4));
-                let wait = wait * if silent { 0.0 } else { 0.5 + self.chance.generate::<f64>() };
-                self.ask_at = self.deployment.must_ask.map(|most| now + wait.min(most * LIST_DUE));
+                let wait = LIST_AGAIN * f64::from(1 << self.ask_failures.min(3));
+                let spread = if silent { 0.0 } else { 0.5 + self.chance.generate::<f64>() };
+                let again = self.deployment.must_ask.map(|most| now + wait.min(most * LIST_DUE) * spread);
+                self.ask_at = self.ask_at.or(again).min(again);
                 return;
             }
             ListNews::Remembered(entries) | ListNews::Whole(entries) => (entries, true),
@@ -769,14 +771,11 @@
         } else {
             self.fleet.forgive(now); // a call-out stands in for the probe that would be due
         }
-        if let Some(at) = self.ask_at {
-            if at <= now {
-                self.upkeep.ask_list = true;
-                let part = LIST_DUE * (0.75 + 0.5 * self.chance.generate::<f64>());
-                self.ask_at = self.deployment.must_ask.map(|most| now + LIST_ANSWER.max(most * part));
-            }
-            wake = wake.min(self.ask_at.unwrap_or(wake));
+        if self.ask_at.is_some_and(|at| at <= now) {
+            self.upkeep.ask_list = true;
+            self.ask_at = Some(now + LIST_LATEST * (0.75 + 0.25 * self.chance.generate::<f64>()));
         }
+        wake = wake.min(self.ask_at.unwrap_or(wake));
         self.upkeep.wake = Some(wake.max(now + self.deployment.tick));
         std::mem::take(&mut self.upkeep)
     }
--- a/crates/ladderpass/src/reducer.rs
+++ b/crates/ladderpass/src/reducer.rs
@@ -194,6 +194,8 @@
     /// Since when discovery tells of older lists alone.
     older_since: Option<Time>,
     watch: Option<ConnId>,
+    /// When it was asked for.
+    asked_at: Time,
     /// The watch of the address that discovery had before: it serves until the new one has answered.
     old_watch: Option<ConnId>,
     /// Discovery has another address, which has not answered yet.
@@ -268,6 +270,7 @@
             silent_since: None,
             older_since: None,
             watch: None,
+            asked_at: now,
             old_watch: None,
             moved_watch: false,
             fixed: launch.fixed,
--- a/crates/ladderpass/src/reducer/watch.rs
+++ b/crates/ladderpass/src/reducer/watch.rs
@@ -21,14 +21,13 @@
         self.discovery = launch.discovery;
         self.moved_watch = true;
         // The watch that has answered last goes on serving; one that is only asked for is of no use.
-        let answered = self.watch.filter(|id| self.has_answered(*id));
-        if answered.is_some() {
-            self.watch = None;
-            if let Some(older) = std::mem::replace(&mut self.old_watch, answered) {
-                self.drop_conn(older);
-            }
-        }
-        self.ask_list(now);
+        let of_no_use = match self.watch.take() {
+            Some(id) if self.has_answered(id) => self.old_watch.replace(id),
+            asked_for => asked_for,
+        };
+        of_no_use.into_iter().for_each(|id| self.drop_conn(id));
+        // By way of the core, so that a pause that it had in mind doesn't end in the middle of this call.
+        self.router.list_news(now, ListNews::Failed { silent: true });
     }
 
     pub(super) fn has_answered(&self, id: ConnId) -> bool {
@@ -45,26 +44,33 @@
         }
         let id = self.next_id();
         self.watch = Some(id);
+        self.asked_at = now;
         self.open(id, Some(now + self.limits.watch_answer), Peer::Discovery(Reader::default()));
         self.effects.push(Effect::Connect(id, self.discovery));
     }
 
     pub(super) fn look_at_watch(&mut self, now: Time, id: ConnId) {
-        if self.watch == Some(id) {
-            self.silent_since = None;
-        }
         // Guards against a list that begins and never ends: what goes on coming then is no news.
         let mut moved_on = !self.is_within(id);
         loop {
             let Some(conn) = self.conns.get_mut(&id) else { return };
             let Peer::Discovery(reader) = &mut conn.peer else { return };
             match reader.next(&mut conn.input, self.limits.list_line) {
+                // Guards against a call that is answered with a head, or the beginning of a list, and no more: it may
+                // take as long as a watch may be silent, and goes on within the time of a first answer.
+                Ok(None) if !self.has_answered(id) => {
+                    let most = self.asked_at + self.limits.watch_silence;
+                    return self.set_deadline(id, Some(most.min(now + self.limits.watch_answer)));
+                }
                 Ok(None) if moved_on || !self.is_within(id) => {
                     return self.set_deadline(id, Some(now + self.limits.watch_silence));
                 }
                 Ok(None) => return,
                 Ok(Some(listing)) => {
                     moved_on = true;
+                    if self.watch == Some(id) {
+                        self.silent_since = None;
+                    }
                     let first = self.watch == Some(id) && std::mem::take(&mut self.moved_watch);
                     // Guards against a list that counts from lower at discovery's new address, which would be refused
                     // for ever: a whole one is taken as it is, mere changes are asked for again as a whole.
