Rule 4's checker: N and 2 roots of N and 2 over all windows of the settings' time

Cause: it allowed 4 roots and 1 over half a second, whatever the settings say; the operators allow N + 2 roots of N + 2 over OverloadFor. Found by reading ladderpass-rules/src/cold.rs against that.

Change: the event Started brings the window's length.

Scenarios say their overload time (overload_ms, 3 s as before) to routers and to the checker. The proofs faults and membership set half a second for their cold member: the window that they were judged by until now.

--- a/crates/ladderpass-lab/src/joint.rs
+++ b/crates/ladderpass-lab/src/joint.rs
@@ -40,13 +40,16 @@
     pub capacity: f64,
     pub cold_from: f64,
     pub warm_within: Span,
+    pub overload_for: Span,
 }
 
 impl Started {
     /// The members of a fleet that start cold, as routers are told of warming up.
     pub fn all(scenario: &Scenario, at: Time, capacity: f64) -> Vec<Started> {
         let warm_within = Span::from_millis(10_000);
-        let started = |&member: &u32| Started { at, member, capacity, cold_from: 0.2, warm_within };
+        let overload_for = Span::from_secs_f64(scenario.overload_ms / 1e3);
+        let started =
+            |&member: &u32| Started { at, member, capacity, cold_from: 0.2, warm_within, overload_for };
         scenario.cold.iter().map(started).collect()
     }
 }
@@ -187,8 +190,8 @@
 
     fn of_cold(&self, router: Option<usize>) -> Vec<Event> {
         let started = self.started.iter().map(|started| {
-            let Started { member, capacity, cold_from, warm_within, .. } = *started;
-            Event { at: started.at, what: What::Started { member, capacity, cold_from, warm_within } }
+            let Started { at, member, capacity, cold_from, warm_within, overload_for } = *started;
+            Event { at, what: What::Started { member, capacity, cold_from, warm_within, overload_for } }
         });
         let sent =
             self.passings().filter(|&(_, by, .., begins)| begins && router.is_none_or(|one| one == by));
--- a/crates/ladderpass-lab/src/prove/faults.rs
+++ b/crates/ladderpass-lab/src/prove/faults.rs
@@ -117,7 +117,8 @@
     seed: u64,
 ) -> io::Result<(Vec<u8>, (usize, &'static str))> {
     let cold = row.cold.into_iter().collect();
-    let mut scenario = Scenario { log_ms: row.log_ms, cold, ..Scenario::default() };
+    // A cold member falls within the run, by what it gets in half a second.
+    let mut scenario = Scenario { log_ms: row.log_ms, cold, overload_ms: 500.0, ..Scenario::default() };
     if row.log_ms > 100.0 {
         // Replicas fall behind a bound that is shorter than the run.
         scenario.methods[0].max_age_ms = Some(200.0);
--- a/crates/ladderpass-lab/src/prove/membership.rs
+++ b/crates/ladderpass-lab/src/prove/membership.rs
@@ -294,7 +294,7 @@
     lag.methods[0].max_age_ms = Some(200.0);
     // What the faulty one sends there is about what the cold one bears at first, and what the others send as they should
     // comes on top. Many RPCs, so that chance in their number can't tell for either.
-    let cold = Scenario { cold: vec![COLD], ..Scenario::default() };
+    let cold = Scenario { cold: vec![COLD], overload_ms: 500.0, ..Scenario::default() };
     vec![
         Joint {
             rule: 1,
--- a/crates/ladderpass-rules/src/lib.rs
+++ b/crates/ladderpass-rules/src/lib.rs
@@ -77,12 +77,14 @@
     Serving {
         member: MemberNo,
     },
-    /// A member started, cold: it bears so much of `capacity` (RPCs a second) at first, all of it after `warm_within`.
+    /// A member started, cold: it bears so much of `capacity` (RPCs a second) at first, all of it after `warm_within`. It
+    /// falls over by what it gets within `overload_for`.
     Started {
         member: MemberNo,
         capacity: f64,
         cold_from: f64,
         warm_within: Span,
+        overload_for: Span,
     },
     /// A member's data reaches up to here.
     Reached {
