Cold members get even shares by a credit, with room for chance

Cause: each router drew each RPC (luck under ramp times share), so that the sum scattered as a binomial, about a mean of up to two fair shares (writes: 1.5 ramps). 8 routers before three members, one of them cold, broke N + 2 roots of N + 2.

Change (decide.rs, pay_in): each RPC that a router takes adds to a credit for each cold member of its group the ramp of a fair share, for the primary of the writes where these are more. A cold member is in the pick where the credit has come to one. Phases are drawn by router and member, also anew after a restart. A credit that no RPC could use within the wait for a probe (60 ms) is lost and its phase stays: routers with nothing to send must not all hold one when a cold primary comes, so what waited goes as credits come, and the ramp since primary_at is gone. The mean leaves three roots of what all routers send in OverloadFor, reckoned from a router's own RPCs and the number of routers.

The multiple of the settings (TipMultiple) is read now: up to two fair shares, the figure of before, where it allows them; one where it is not told, which is N = capacity x ramp x window. The pick is as it was.

Invalid where a group is asked for more than its members bear warm, beyond the multiple: a router knows shares, not capacity.

--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -78,10 +78,9 @@
 const QUICK: f64 = 1.2;
 /// The shortest answer time is taken to be no more than this part of the soft deadline.
 const SOFT_PART: f64 = 0.2;
-/// Ramps of the writes for a cold primary, over so many spans of overload; fair shares for a cold replica.
-const COLD_WRITES: f64 = 1.5;
-const COLD_SPREAD: f64 = 3.0;
-const COLD_READS: f64 = 2.0;
+/// Fair shares for a cold member at most, as far as the settings allow; roots of what all send it left for chance.
+const COLD_SHARES: f64 = 2.0;
+const COLD_ROOM: f64 = 3.0;
 /// An RPC that could be sent nowhere is given up after this part of its client's time.
 const HELD_PART: f64 = 0.49;
 /// Held RPCs are looked at again at least this often; more than so many not twice within this part of a tick.
@@ -162,6 +161,7 @@
                 return (rpc, self.shed(rpc, strain.pressure));
             }
         }
+        self.pay_in(now, &arrival);
         let first = self.fleet.reach_group(arrival.group).held.is_empty();
         (rpc, if first { self.place(now, rpc) } else { self.hold(rpc) })
     }
@@ -466,23 +466,31 @@
         if now - member.told_at < NEWS_AGE { member.crowd().unwrap_or(1.0).max(1.0) } else { 1.0 }
     }
 
-    /// A cold member gets its ramp of a fair share of the group at its largest: if each router keeps that, so
-    /// does their sum. What waited for a cold primary does not come all at once.
+    /// What a cold member may get: its ramp of fair shares of the group at its largest, as the primary of the writes
+    /// where these are more, less the room for chance. If each router keeps that, so does their sum. Each RPC taken
+    /// pays a part of one in, from a phase that is drawn, so that call-outs go out evenly, also of what waited.
+    fn pay_in(&mut self, now: Time, arrival: &Arrival) {
+        let level = self.rows[arrival.method as usize].method.level;
+        let taken = self.fleet.reach_taken(arrival.group, MEASURE);
+        taken.add(now, f64::from(u8::from(matches!(level, Level::Fresh | Level::Write))));
+        let (count, writes) = taken.last(now, 8);
+        let (group, deployment) = (&self.fleet.groups[arrival.group as usize], &self.deployment);
+        let (primary, fair) = (group.primary, count / group.largest.max(1) as f64);
+        let shares = deployment.tip_multiple.clamp(1.0, COLD_SHARES);
+        let all = deployment.overload_for.max(MEASURE).secs() * f64::from(deployment.routers.max(1));
+        let cold = |&index: &usize| Some((index, self.ramp(now, self.fleet.member(index))?));
+        for (index, ramp) in group.members.iter().filter_map(cold).collect::<Vec<_>>() {
+            let most = shares * ramp * if primary == Some(index) { fair.max(writes) } else { fair };
+            let part = most / count / (1.0 + COLD_ROOM / (most * all / (MEASURE.secs() * 8.0)).sqrt());
+            self.fleet.member_mut(index).pay(now, part, ASK_WAIT);
+        }
+    }
+
     fn warm_enough(&self, now: Time, index: usize, rpc: Rpc) -> bool {
-        let state = &self.rpcs[rpc];
+        let (state, member) = (&self.rpcs[rpc], self.fleet.member(index));
         let lucky = (state.luck + index as f64 * 0.618) % 1.0;
-        let level = self.row(rpc).method.level;
-        let part = if level == Level::Write { 1.0 } else { self.fleet.member(index).part };
-        let Some(ramp) = self.ramp(now, self.fleet.member(index)) else { return lucky < part };
-        let group = &self.fleet.groups[state.arrival.group as usize];
-        let share = match level {
-            Level::Fresh | Level::Write => {
-                let spread = self.deployment.overload_for * COLD_SPREAD;
-                COLD_WRITES * ((now - group.primary_at).secs() / spread.secs().max(1e-3)).min(1.0)
-            }
-            _ => (COLD_READS / group.largest.max(1) as f64).min(1.0),
-        };
-        lucky < part.min(ramp * share)
+        let part = if self.row(rpc).method.level == Level::Write { 1.0 } else { member.part };
+        lucky < part && (member.is_owed(now, ASK_WAIT) || self.ramp(now, member).is_none())
     }
 
     /// The part of its capacity that a cold member is sure to have; None once it is warm.
@@ -519,7 +527,7 @@
         }
         for group in 0..self.fleet.groups.len() {
             self.fleet.count_members(group);
-            self.find_primary(now, group);
+            self.find_primary(group);
         }
         self.upkeep.forgotten.extend(self.fleet.forget(now - FORGET));
     }
@@ -531,7 +539,7 @@
             let limit = LIMIT_START / f64::from(self.deployment.routers.max(1));
             let limit = limit.clamp(START_LEAST, START_MOST);
             let mut member = Member::new(entry.member, entry.group as usize, limit, MEASURE, sent);
-            member.mark = entry.mark;
+            (member.mark, member.credit) = (entry.mark, self.chance.generate());
             self.fleet.add(member);
             let first = (self.probe_span(now, index) - self.least_bound * TELL_PART).max(Span::ZERO);
             let member = self.fleet.member_mut(index);
@@ -556,7 +564,7 @@
         self.fleet.member_mut(index).shown(role, at);
         let group = self.fleet.member(index).group;
         let before = self.fleet.groups[group].primary;
-        self.find_primary(now, group);
+        self.find_primary(group);
         let after = self.fleet.groups[group].primary;
         if role == Role::Primary && after == Some(index) && before != after {
             self.fleet.member_mut(index).shared_at = Time::NEVER;
@@ -565,7 +573,7 @@
     }
 
     /// The member last called primary by the best evidence: its own word first, else the list's.
-    fn find_primary(&mut self, now: Time, group: usize) {
+    fn find_primary(&mut self, group: usize) {
         let claim = |&&index: &&usize| {
             let member = self.fleet.member(index);
             member.standing == Standing::On && (member.claim > member.replica_at || member.named)
@@ -574,7 +582,7 @@
         let best = members.filter(claim).max_by_key(|&&i| self.fleet.member(i).claim).copied();
         let state = &mut self.fleet.groups[group];
         if best != state.primary {
-            (state.primary, state.primary_at) = (best, now);
+            state.primary = best;
             let named = best.map_or("unknown".to_owned(), |index| format!("#{index}"));
             self.upkeep.notes.push(format!("group {group}: primary is {named}"));
         }
@@ -649,7 +657,7 @@
         let group = self.fleet.member(index).group;
         self.fleet.groups[group].heard = true;
         self.fleet.member_mut(index).shown(role, news.at);
-        self.find_primary(now, group);
+        self.find_primary(group);
     }
 
     /// Tells the other routers what this one was told by the member itself, unless they know it already.
@@ -756,13 +764,9 @@
 
     /// Decides what is held, and says what is due: probes, list calls, the next look.
     pub fn tend(&mut self, now: Time) -> Upkeep {
-        let mut wake = now + Span::MAX;
-        for group in 0..self.fleet.groups.len() {
-            self.tend_held(now, group);
-            if !self.fleet.groups[group].held.is_empty() {
-                wake = wake.min(now + HELD_EVERY);
-            }
-        }
+        (0..self.fleet.groups.len()).for_each(|group| self.tend_held(now, group));
+        let waits = self.fleet.groups.iter().any(|group| !group.held.is_empty());
+        let mut wake = now + if waits { HELD_EVERY } else { Span::MAX };
         if self.deployment.probes {
             if self.probes_at <= now {
                 self.tend_probes(now);
@@ -862,24 +866,21 @@
         let hasty = outcome.took < row.usual * SILENCE;
         let lost =
             (hasty || self.is_lost(now, member, sent, arrival.method)) && outcome.ended == Ended::TimedOut;
+        // Who tells its role is there, whatever else it says.
+        if outcome.role.is_some() || matches!(outcome.ended, Ended::Ok | Ended::Absent) {
+            self.answered(now, index);
+        }
         let member = self.fleet.member_mut(index);
         member.came_back(sent, arrival.method, outcome.ended == Ended::Ok);
         let group = member.group;
         match outcome.ended {
-            Ended::Ok | Ended::Absent => {
-                self.answered(now, index);
-                self.fleet.groups[group].heard = true;
-            }
-            Ended::Failed if outcome.role.is_some() => self.answered(now, index),
+            Ended::Ok | Ended::Absent => self.fleet.groups[group].heard = true,
             Ended::Overloaded | Ended::Broken | Ended::TimedOut => {
                 member.failures.add(now, 1.0);
                 let limit = member.limit * LIMIT_CUT;
                 if matches!(outcome.ended, Ended::Overloaded | Ended::TimedOut) && !lost {
                     self.cut(now, index, sent, limit);
                 }
-                if outcome.role.is_some() {
-                    self.answered(now, index);
-                }
             }
             Ended::Unreachable => {
                 member.failures.add(now, 1.0);
--- a/crates/ladderpass-core/src/interface.rs
+++ b/crates/ladderpass-core/src/interface.rs
@@ -92,6 +92,8 @@
     pub cold_from: f64,
     pub warm_within: Span,
     pub overload_for: Span,
+    /// A cold member bears this multiple of its present capacity for that time.
+    pub tip_multiple: f64,
     /// Only an entry that says `Fading` binds; a member that left the list may still be called.
     pub soft_removal: bool,
 }
--- a/crates/ladderpass-core/src/state.rs
+++ b/crates/ladderpass-core/src/state.rs
@@ -50,6 +50,10 @@
     pub part: f64,
     pub part_at: Time,
     pub cold_from: Option<Time>,
+    /// Call-outs that it may get from this router while it is cold, and the part of one; it begins anywhere below one.
+    pub credit: f64,
+    /// When it came to one.
+    pub owed_at: Time,
     /// Latest send that it has answered.
     pub answered: Time,
     pub limit: f64,
@@ -68,8 +72,6 @@
     pub primary: Option<usize>,
     /// Most members that it had at once.
     pub largest: usize,
-    /// Since when the primary is.
-    pub primary_at: Time,
     pub heard: bool,
     pub held: Vec<Rpc>,
     pub tended_at: Time,
@@ -84,6 +86,8 @@
     pub paces: Vec<Ring<8>>,
     /// The same by zone, over a longer time, with what was lost on the way.
     pub ways: Vec<Ring<8>>,
+    /// RPCs taken, by group, and those for the primary alone.
+    pub taken: Vec<Ring<8>>,
 }
 
 /// The ring of this index, with those before it.
@@ -98,6 +102,11 @@
         reach(&mut self.ways, zone, bucket)
     }
 
+    pub fn reach_taken(&mut self, group: u32, bucket: Span) -> &mut Ring<8> {
+        self.reach_group(group);
+        reach(&mut self.taken, group, bucket)
+    }
+
     pub fn reach_pace(&mut self, kind: u32, bucket: Span) -> &mut Ring<8> {
         reach(&mut self.paces, kind, bucket)
     }
@@ -253,6 +262,8 @@
             part: 1.0,
             part_at: Time::NEVER,
             cold_from: None,
+            credit: 0.0,
+            owed_at: Time::NEVER,
             answered: Time::NEVER,
             limit,
             cut_at: Time::NEVER,
@@ -332,6 +343,22 @@
         }
     }
 
+    /// Adds a part of a call-out. Whole ones that were not used in time are lost, the phase stays: they would come at
+    /// once from all routers that had nothing to send for long.
+    pub fn pay(&mut self, now: Time, part: f64, lasts: Span) {
+        if now - self.owed_at > lasts {
+            self.credit %= 1.0;
+        }
+        if self.credit < 1.0 {
+            self.owed_at = now;
+        }
+        self.credit += part;
+    }
+
+    pub fn is_owed(&self, now: Time, lasts: Span) -> bool {
+        self.credit >= 1.0 && now - self.owed_at <= lasts
+    }
+
     /// A call-out goes to it.
     pub fn called_out(&mut self, now: Time, method: u32, usual: Span) {
         if self.out.is_empty() {
@@ -339,6 +366,7 @@
         }
         self.out.push_back((now, method));
         self.sent_at = now;
+        self.credit -= self.credit.floor().min(1.0);
         self.sent.add(now, usual.secs());
     }
 
--- a/crates/ladderpass-core/tests/common/mod.rs
+++ b/crates/ladderpass-core/tests/common/mod.rs
@@ -31,6 +31,7 @@
         cold_from: 0.2,
         warm_within: Span::from_millis(10_000),
         overload_for: Span::from_millis(2000),
+        tip_multiple: 1.0,
         soft_removal: false,
     }
 }
--- a/crates/ladderpass-deployment/src/lib.rs
+++ b/crates/ladderpass-deployment/src/lib.rs
@@ -81,6 +81,7 @@
     must_ask_in: Option<i64>,
     overload_for: Option<i64>,
     soft_removal: Option<bool>,
+    tip_multiple: Option<f64>,
     warm_within: Option<i64>,
 }
 
@@ -146,6 +147,9 @@
     if let Some(part) = contract.cold_from.filter(|part| !(0.0..=1.0).contains(part)) {
         return Err(format!("Contract.ColdFrom: {part} is not from 0 to 1"));
     }
+    if let Some(multiple) = contract.tip_multiple.filter(|multiple| !(0.0..=1000.0).contains(multiple)) {
+        return Err(format!("Contract.TipMultiple: {multiple} is not from 0 to 1000"));
+    }
     let mut methods = Vec::new();
     for (index, service) in shape.services.iter().enumerate() {
         methods.push(method(index, service, extra)?);
@@ -183,6 +187,7 @@
         cold_from: contract.cold_from.unwrap_or(1.0),
         warm_within: span("Contract.WarmWithin", contract.warm_within)?,
         overload_for: span("Contract.OverloadFor", contract.overload_for)?,
+        tip_multiple: contract.tip_multiple.unwrap_or(1.0),
         soft_removal: contract.soft_removal.unwrap_or(false),
     };
     Ok(Facts {
--- a/crates/ladderpass-overload/tests/front.rs
+++ b/crates/ladderpass-overload/tests/front.rs
@@ -45,6 +45,7 @@
         cold_from: 1.0,
         warm_within: Span::ZERO,
         overload_for: Span::from_millis(1000),
+        tip_multiple: 1.0,
         soft_removal: false,
     }
 }
--- a/crates/ladderpass/tests/end_to_end.rs
+++ b/crates/ladderpass/tests/end_to_end.rs
@@ -321,6 +321,7 @@
         (good.replace("\"Worth\":6.0", "\"Worth\":-6.0"), "127.0.0.1:0", "Services[1].Worth"),
         (good.replace("\"AttemptsCap\":6", "\"AttemptsCap\":0"), "127.0.0.1:0", "Allowed.AttemptsCap"),
         (good.replace("\"ColdFrom\":0.2", "\"ColdFrom\":20"), "127.0.0.1:0", "Contract.ColdFrom"),
+        (good.replace("\"ColdFrom\":0.2", "\"TipMultiple\":-4"), "127.0.0.1:0", "Contract.TipMultiple"),
         (good.replace("\"MustAskIn\":10000000000,", ""), "127.0.0.1:0", "Contract.MustAskIn"),
         (good.replace("\"subscribe\"", "\"sometimes\""), "127.0.0.1:0", "RegistryMode"),
         (good.replace("\"ConnIdle\":15000000000", "\"ConnIdle\":-1"), "127.0.0.1:0", "Allowed.ConnIdle"),
