Idle clients leave descriptors to discovery, probes and call-outs

Seen: with fewer descriptors for the process than limits.sockets says, and idle clients at the listener without end, discovery was not called within 6 s of its return (24 descriptors on sockets; 12 on the model of a machine). Ruled out: the allowance as told, where it is true: members and discovery had their share there (64, 96, 1024 told, that many there: the list came in time before too). At fault: Limits::of took limits.sockets for what the process may open; Reducer::denied took a call to discovery that had no descriptor for one that failed, with the pause of the core behind it, and ended a call-out as void though clients rested; each descriptor that came free went to the listener first. Reducer::probe reported a probe that found no room as Void, which counts as a miss: three leave a member out. Found by the way: accept_some let up to 64 clients in that had gone already before it closed the first, past the allowance; a listener that was short woke only when a connection closed; links that rest shut the door on newcomers.

Change: the smaller of limits.sockets and RLIMIT_NOFILE holds (a line of the log says so). An accepted client that has gone is closed before the next is accepted. Idle links make place for newcomers.

--- a/crates/ladderpass/src/launch.rs
+++ b/crates/ladderpass/src/launch.rs
@@ -10,6 +10,7 @@
 use ladderpass_deployment::operator::{self, Operator};
 use ladderpass_deployment::{Facts, Faults};
 use ladderpass_overload::Allowance;
+use nix::sys::resource::{Resource, getrlimit};
 use serde::Deserialize;
 use serde_json::Value;
 use std::fmt::Write;
@@ -29,6 +30,8 @@
     pub facts: Facts,
     pub limits: Limits,
     pub allowance: Allowance,
+    /// What the platform says of descriptors; less may hold for the process.
+    pub sockets_told: usize,
     pub operator: Operator,
     pub faulty: Faulty,
     /// How far the wall clock is off, in a build for the lab.
@@ -239,7 +242,8 @@
         let facts = faults.keep(facts);
         faults.none()?;
         let Some(mut facts) = facts else { return Err("settings: could not be read".into()) };
-        let limits = Limits::of(told.limits.memory_mb, told.limits.sockets, &facts);
+        let sockets = told.limits.sockets.min(descriptors());
+        let limits = Limits::of(told.limits.memory_mb, sockets, &facts);
         // Guards rule 3 where the settings say that lists are pushed: on sockets nothing comes unasked. There what
         // discovery has counts as told at once, so a watch that was lost has to be back within the grace.
         facts.deployment.must_ask.get_or_insert(facts.drain_grace.unwrap_or(limits.told_within));
@@ -247,7 +251,7 @@
             cores,
             memory: usize::try_from(told.limits.memory_mb << 20).unwrap_or(usize::MAX),
             rings: limits.rings_of_clients,
-            descriptors: told.limits.sockets,
+            descriptors: sockets,
         };
         let fixed = Fixed { name, listen, settings: told.settings };
         let operator = Operator::default();
@@ -259,6 +263,7 @@
             facts,
             limits,
             allowance,
+            sockets_told: told.limits.sockets,
             operator,
             faulty: Faulty::Nowhere,
             clock: Span::ZERO,
@@ -266,6 +271,13 @@
     }
 }
 
+/// Descriptors that the process itself may have. Guards the call to discovery, probes and call-outs where the
+/// system gives fewer than the platform says: clients, who may always be more, would take the last.
+fn descriptors() -> usize {
+    let limit = getrlimit(Resource::RLIMIT_NOFILE).map_or(u64::MAX, |(soft, _)| soft);
+    usize::try_from(limit).unwrap_or(usize::MAX)
+}
+
 fn address(key: &str, text: &str) -> Result<SocketAddr, String> {
     text.parse().map_err(|_| format!("{key}: {text:?} is no address and port; allowed is address:port"))
 }
--- a/crates/ladderpass/src/reducer.rs
+++ b/crates/ladderpass/src/reducer.rs
@@ -111,6 +111,8 @@
     unread: bool,
     /// Closes once all is written.
     closing: bool,
+    /// How often there was no descriptor for it.
+    denials: u8,
     /// Memory of its rings, as last counted.
     held: usize,
     peer: Peer,
@@ -208,6 +210,13 @@
     /// Clients that are to go at the next turn, unless something of theirs is still found at the socket.
     parting: Vec<(ConnId, Option<(Waiting, Time)>)>,
     accepting: bool,
+    /// Connections that were denied, for which a client makes place; the watch, if nothing could; and when
+    /// what could not be had is tried again.
+    denied: Vec<ConnId>,
+    denied_watch: Option<ConnId>,
+    short_until: Option<Time>,
+    /// Probes that wait for room.
+    probes: VecDeque<MemberId>,
     /// Memory of all rings.
     rings: usize,
     /// Connections that could not read for want of memory.
@@ -279,6 +288,10 @@
             waiting: Default::default(),
             parting: Vec::new(),
             accepting: true,
+            denied: Vec::new(),
+            denied_watch: None,
+            short_until: None,
+            probes: VecDeque::new(),
             rings: 0,
             starved: BTreeSet::new(),
             ready: VecDeque::new(),
@@ -380,13 +393,16 @@
     pub fn wake(&self) -> Option<Time> {
         let first = self.looks.first().map(|&(at, _)| at);
         let deaf_at = self.stopping.filter(|_| !self.deaf).map(|since| since + self.limits.still_accepting);
-        let at_once = !self.parting.is_empty() || !self.again.is_empty() || !self.ready.is_empty();
+        let at_once = !self.parting.is_empty()
+            || !self.denied.is_empty()
+            || !self.again.is_empty()
+            || !self.ready.is_empty();
         let parting = at_once.then_some(Time::NEVER);
         let spans = self.limits.client_waits.iter();
         let longest = self.waiting.iter().zip(spans).filter_map(|(set, &span)| Some(set.first()?.0 + span));
         let place = longest.min().filter(|_| self.clients > self.limits.clients_eased);
         let peers = self.peers.as_ref().map(|peers| peers.wake());
-        [first, self.core_wake, deaf_at, parting, place, peers].into_iter().flatten().min()
+        [first, self.core_wake, deaf_at, parting, place, peers, self.short_until].into_iter().flatten().min()
     }
 
     pub fn apply(&mut self, now: Time, event: Event) -> Vec<Effect> {
@@ -428,6 +444,7 @@
         // Guards against statements begun for clients that have left: all that the batch read, ends too, comes first.
         self.look_at_ready(now);
         self.see_off(now);
+        self.connect_again(now);
         while let Some(&(at, id)) = self.looks.first()
             && at <= now
         {
@@ -449,9 +466,7 @@
         for (rpc, decision) in upkeep.decisions {
             self.carry_out(now, rpc, decision);
         }
-        for member in upkeep.probes {
-            self.probe(now, member);
-        }
+        self.probe_all(now, upkeep.probes);
         if !upkeep.tell.is_empty() {
             self.whisper(now, &upkeep.tell);
         }
@@ -465,6 +480,7 @@
             tracing::info!("{}", self.names.named(&note));
         }
         self.core_wake = upkeep.wake;
+        self.mind_the_door();
         // Not before what the sockets tell next: a client may have left while it was answered.
         for id in std::mem::take(&mut self.again) {
             if let Some(Conn { peer: Peer::Client(client), .. }) = self.conns.get_mut(&id) {
@@ -523,6 +539,7 @@
             waited_for_room: false,
             unread: false,
             closing: false,
+            denials: 0,
             held: 0,
             peer,
         };
@@ -688,14 +705,71 @@
         }
     }
 
-    /// Guards members against blame for what this router is short of.
+    /// Guards the call to discovery, probes and call-outs against clients that fill the descriptors: one that
+    /// rests makes place, or an idle link. Guards members against blame for what this router is short of.
     fn denied(&mut self, now: Time, id: ConnId) {
+        let most = self.limits.denials;
+        let Some(conn) = self.conns.get_mut(&id) else { return };
+        conn.denials = conn.denials.saturating_add(1);
+        if conn.denials <= most && self.make_room(now) {
+            return self.denied.push(id);
+        }
         match self.conns.get(&id).map(|conn| &conn.peer) {
+            Some(Peer::Member(Link { member, job: Some(Job::Probe), .. })) => {
+                let member = MemberId(*member as u32);
+                self.drop_conn(id);
+                self.short_until = Some(now + self.limits.denied_rest);
+                self.probe_waits(member);
+            }
             Some(Peer::Member(_)) => self.link_over(now, id, Ended::Void),
+            Some(Peer::Discovery(_)) => {
+                self.denied_watch = Some(id);
+                self.set_deadline(id, Some(now + self.limits.denied_rest));
+            }
             _ => self.closed(now, id),
         }
     }
 
+    /// Something gives its descriptor up: a client that has rested for long, else an idle link, else any that
+    /// rests.
+    fn make_room(&mut self, now: Time) -> bool {
+        if let Some(client) = self.rested(Some(now)) {
+            self.part_with(client);
+        } else if let Some(link) = self.longest_idle() {
+            self.drop_conn(link);
+        } else if let Some(client) = self.rested(None) {
+            self.part_with(client);
+        } else {
+            return false;
+        }
+        true
+    }
+
+    /// What was denied is tried again, now that others have made place.
+    fn connect_again(&mut self, now: Time) {
+        self.short_until = self.short_until.filter(|&at| at > now);
+        for id in std::mem::take(&mut self.denied) {
+            let address = match self.conns.get(&id).map(|conn| &conn.peer) {
+                Some(Peer::Member(link)) => self.members.get(link.member).map(|member| member.address),
+                Some(Peer::Discovery(_)) => Some(self.discovery),
+                _ => None,
+            };
+            self.effects.extend(address.map(|address| Effect::Connect(id, address)));
+        }
+    }
+
+    /// Guards newcomers against links that rest, which make place for them, and against a door that stays
+    /// shut once links, not clients, have gone.
+    fn mind_the_door(&mut self) {
+        let rests = |member: &Member| !member.idle.is_empty();
+        let room = self.clients + self.links < self.limits.connections || self.members.iter().any(rests);
+        let wanted = room && self.clients < self.limits.clients_most;
+        if wanted != self.accepting {
+            self.accepting = wanted;
+            self.effects.push(Effect::Accept(wanted));
+        }
+    }
+
     fn expired(&mut self, now: Time, id: ConnId) {
         let Some(conn) = self.conns.get(&id) else { return };
         match &conn.peer {
@@ -724,6 +798,13 @@
                 Some(_) if link.answering => self.malformed(now, id),
                 Some(_) => self.link_over(now, id, Ended::TimedOut),
             },
+            Peer::Discovery(_) if self.denied_watch.take() == Some(id) => {
+                if let Some(conn) = self.conns.get_mut(&id) {
+                    conn.denials = 0;
+                }
+                self.set_deadline(id, Some(now + self.limits.watch_answer));
+                self.effects.push(Effect::Connect(id, self.discovery));
+            }
             Peer::Discovery(_) => self.watch_is_silent(now, id),
         }
     }
--- a/crates/ladderpass/src/reducer/clients.rs
+++ b/crates/ladderpass/src/reducer/clients.rs
@@ -144,14 +144,30 @@
         self.open(id, Some(now + self.limits.message), Peer::Client(client));
         self.wait_for(id, Some((Waiting::Opening, now)));
         self.make_place(now);
+        // Guards newcomers against links that merely rest.
+        if self.clients + self.links > self.limits.connections
+            && let Some(link) = self.longest_idle()
+        {
+            self.drop_conn(link);
+        }
         let full =
             self.clients >= self.limits.clients_most || self.clients + self.links >= self.limits.connections;
         if self.accepting && full {
-            self.accepting = false;
-            self.effects.push(Effect::Accept(false));
+            self.mind_the_door();
         }
     }
 
+    /// The client that is owed nothing and is to make place first; of those that have had their time, where
+    /// it counts.
+    pub(super) fn rested(&self, now: Option<Time>) -> Option<ConnId> {
+        let sets = self.waiting.iter().zip(self.limits.client_waits);
+        let first = |(set, span): (&BTreeSet<(Time, ConnId)>, Span)| {
+            let &(since, id) = set.first()?;
+            now.is_none_or(|now| now - since >= span).then_some(id)
+        };
+        sets.filter_map(|(set, span)| first((set, span))).next()
+    }
+
     pub(super) fn wait_for(&mut self, id: ConnId, what: Option<(Waiting, Time)>) {
         let Some(Conn { peer: Peer::Client(client), .. }) = self.conns.get_mut(&id) else { return };
         if let Some((before, since)) = std::mem::replace(&mut client.waiting, what) {
--- a/crates/ladderpass/src/reducer/members.rs
+++ b/crates/ladderpass/src/reducer/members.rs
@@ -78,8 +78,15 @@
         let address = member.address;
         // Members have what clients leave; these leave them a share of their own.
         if self.links >= self.limits.connections.saturating_sub(self.clients) {
-            let idle = self.longest_idle()?;
-            self.drop_conn(idle);
+            if let Some(idle) = self.longest_idle() {
+                self.drop_conn(idle);
+            } else if self.clients + self.links < self.limits.connections + self.limits.leaving
+                && let Some(client) = self.rested(Some(now))
+            {
+                self.part_with(client);
+            } else {
+                return None;
+            }
         }
         let id = self.next_id();
         self.links += 1;
@@ -117,7 +124,7 @@
     }
 
     /// The idle connection that has rested longest; each pool has its own at its front.
-    fn longest_idle(&self) -> Option<ConnId> {
+    pub(super) fn longest_idle(&self) -> Option<ConnId> {
         let first = self.members.iter().filter_map(|member| member.idle.first());
         let since = |id: &&ConnId| match self.conns.get(id).map(|conn| &conn.peer) {
             Some(Peer::Member(link)) => link.idle_since,
@@ -532,12 +539,34 @@
         self.job_ended(now, job, outcome, report);
     }
 
-    pub(super) fn probe(&mut self, now: Time, member: MemberId) {
-        let until = now + self.limits.probe;
-        match self.reach(now, member.0 as usize, Job::Probe, until) {
-            Some(id) if self.is_up(id) => self.send(now, id),
-            Some(_) => {}
-            None => self.router.probed(now, member, Ended::Void, Span::ZERO, Report::default()),
+    /// Probes go as far as there is room; the others wait for it. Guards members against being blamed for
+    /// what this router is short of, and RPCs and clients against hundreds of probes at a start.
+    pub(super) fn probe_all(&mut self, now: Time, due: Vec<MemberId>) {
+        due.into_iter().for_each(|member| self.probe_waits(member));
+        if self.probes.is_empty() || self.short_until.is_some() {
+            return;
+        }
+        let probes = |conn: &&Conn| matches!(&conn.peer, Peer::Member(Link { job: Some(Job::Probe), .. }));
+        let out = self.conns.values().filter(probes).count();
+        let left = self.limits.connections.saturating_sub(self.clients);
+        for _ in out..((left as f64 * self.limits.probing) as usize).max(1) {
+            let Some(member) = self.probes.pop_front() else { return };
+            let index = member.0 as usize;
+            // It may have gone meanwhile; then the core asks no more.
+            if self.members.get(index).is_none_or(|member| member.forgotten) {
+                continue;
+            }
+            match self.reach(now, index, Job::Probe, now + self.limits.probe) {
+                Some(id) if self.is_up(id) => self.send(now, id),
+                Some(_) => {}
+                None => return self.probes.push_front(member),
+            }
+        }
+    }
+
+    pub(super) fn probe_waits(&mut self, member: MemberId) {
+        if !self.probes.contains(&member) {
+            self.probes.push_back(member);
         }
     }
 }
--- a/crates/ladderpass/src/sockets.rs
+++ b/crates/ladderpass/src/sockets.rs
@@ -61,6 +61,7 @@
     /// Where the operator's file stands, if there is one.
     operator: Option<PathBuf>,
     looks: Looks,
+    short_rest: Duration,
     /// Reads from one connection in one go; those with more to read have their next go after the others.
     reads: usize,
     unfinished: Vec<ConnId>,
@@ -80,8 +81,9 @@
     standstill: Duration,
     /// When the loop was to be awake at the latest.
     awake_by: Option<Instant>,
-    /// The listener rests until a connection closes: there was no descriptor for the next one.
-    short: bool,
+    /// The listener rests until a connection closes, or for a while: there was no descriptor for the next
+    /// one.
+    short: Option<Instant>,
     over: bool,
 }
 
@@ -94,6 +96,8 @@
     let (reads, backlog) = (launch.limits.reads, launch.limits.backlog);
     let (longest, standstill) = (launch.limits.longest_wait, launch.limits.standstill);
     let budget = launch.limits.events;
+    let (allowed, told) = (launch.allowance.descriptors, launch.sockets_told);
+    let short_rest = Duration::from_nanos(launch.limits.denied_rest.nanos().max(0) as u64);
     let wires = Wires::new().map_err(|fault| format!("event loop: {fault}"))?;
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]);
     handle
@@ -123,6 +127,9 @@
             Ok(PostAction::Continue)
         })
         .map_err(|fault| format!("event loop: {fault}"))?;
+    if allowed < told {
+        tracing::warn!("limits.sockets says {told}, and the process may open {allowed}: that holds");
+    }
     tracing::info!("{name} listens on {address}");
     let mut front = Front {
         clock,
@@ -133,6 +140,7 @@
         enabled: true,
         operator,
         looks: Looks::new(),
+        short_rest,
         reads,
         unfinished: Vec::new(),
         wires,
@@ -145,7 +153,7 @@
         longest_wait: longest,
         standstill,
         awake_by: None,
-        short: false,
+        short: None,
         over: false,
     };
     while !front.over {
@@ -275,6 +283,12 @@
 
     /// After a batch: the reducer's turn, then what it and the batch asked for.
     fn turn(&mut self) {
+        // Guards those at the door where it was not this process that was short, and none of its connections
+        // closes.
+        if self.short.is_some_and(|since| since.elapsed() >= self.short_rest) {
+            self.short = None;
+            self.enable_listener(self.listening);
+        }
         self.carry_out();
         self.apply(Event::Turn);
         self.carry_out();
@@ -330,7 +344,7 @@
 
     fn listen(&mut self, wanted: bool) {
         self.listening = wanted;
-        self.enable_listener(wanted && !self.short);
+        self.enable_listener(wanted && self.short.is_none());
     }
 
     fn enable_listener(&mut self, enabled: bool) {
@@ -384,13 +398,19 @@
                     }
                     self.apply(Event::Accepted(id));
                     self.read(id, true);
+                    // Guards the allowance: one that had ended at the door gives its descriptor back before
+                    // the next takes one.
+                    if let Some(nth) = self.effects.iter().rposition(|effect| *effect == Effect::Close(id)) {
+                        self.effects.remove(nth);
+                        self.close(id);
+                    }
                 }
                 Err(fault) if fault.kind() == ErrorKind::WouldBlock => return Accepted::All,
                 Err(fault) if !is_short(&fault) => tracing::debug!("accept: {fault}"),
                 Err(fault) => {
                     // Guards against a spin on a listener that stays ready, as when descriptors are out.
                     tracing::warn!("accept: {fault}");
-                    self.short = true;
+                    self.short = Some(Instant::now());
                     self.enable_listener(false);
                     return Accepted::Full;
                 }
@@ -503,7 +523,7 @@
     }
 
     fn close(&mut self, id: ConnId) {
-        if self.wires.remove(id) && std::mem::take(&mut self.short) {
+        if self.wires.remove(id) && self.short.take().is_some() {
             self.enable_listener(self.listening);
         }
     }
--- a/crates/ladderpass/tests/common/mod.rs
+++ b/crates/ladderpass/tests/common/mod.rs
@@ -23,6 +23,22 @@
     )
 }
 
+/// What a router with so many descriptors is told, with a leader and two followers in each group; groups
+/// count from one.
+pub fn told_in_groups(members: &[String], sockets: usize) -> String {
+    let of_group = |n: usize| in_group(n, &members[n]);
+    let instances: Vec<String> = (0..members.len()).map(of_group).collect();
+    told(&[])
+        .replace("\"instances\":[]", &format!("\"instances\":[{}]", instances.join(",")))
+        .replace("\"sockets\":1024", &format!("\"sockets\":{sockets}"))
+}
+
+pub fn in_group(n: usize, address: &str) -> String {
+    instance(n, address, "SERVING")
+        .replace("\"cell\":1", &format!("\"cell\":{}", n / 3 + 1))
+        .replace("\"follower\"", if n.is_multiple_of(3) { "\"leader\"" } else { "\"follower\"" })
+}
+
 pub fn instance(n: usize, address: &str, lifecycle: &str) -> String {
     let role = if n == 0 { "leader" } else { "follower" };
     format!(
