--- a/crates/ladderpass/src/limits.rs
+++ b/crates/ladderpass/src/limits.rs
@@ -79,6 +79,8 @@
     pub rest_of_answer: Span,
     /// No clock of a member is further ahead.
     pub ahead: Span,
+    /// A call to discovery ends after so long without a byte, and after `watch_silence` in all, until it has
+    /// given a line.
     pub watch_answer: Span,
     /// A watch that was silent for so long has failed. The protocol has an empty line every 2 s; what a silent watch
     /// would have told counts as told 6 s after it fell silent. In between two further calls have their time.
--- a/crates/ladderpass/src/reducer.rs
+++ b/crates/ladderpass/src/reducer.rs
@@ -193,8 +193,9 @@
     generation: u64,
     /// Since when a watch that had answered is silent, until another says something.
     silent_since: Option<Time>,
-    /// Since when discovery tells of older lists alone.
-    older_since: Option<Time>,
+    /// When the list here, or a later one, was told last; and whether what discovery told after that is older.
+    told_at: Time,
+    older: bool,
     watch: Option<ConnId>,
     /// When it was asked for.
     asked_at: Time,
@@ -277,7 +278,8 @@
             groups: HashMap::new(),
             generation: 0,
             silent_since: None,
-            older_since: None,
+            told_at: now,
+            older: false,
             watch: None,
             asked_at: now,
             old_watch: None,
@@ -570,7 +572,7 @@
             Peer::Member(_) => pg::put_startup(&mut out, USER, DATABASE),
             Peer::Discovery(_) => {
                 // Where its list is older than the one here, the whole of it is wanted.
-                let from = if self.older_since.is_some() { 0 } else { self.generation };
+                let from = if self.older { 0 } else { self.generation };
                 let call = discovery::call(&self.discovery.to_string(), from);
                 out.extend_from_slice(call.as_bytes());
             }
--- a/crates/ladderpass/src/reducer/watch.rs
+++ b/crates/ladderpass/src/reducer/watch.rs
@@ -77,11 +77,13 @@
                     if first && listing.generation < self.generation {
                         self.generation = 0;
                         if !listing.reset {
-                            return self.watch_failed(now, id, "changes of another list");
+                            return self.watch_over(now, id, "changes of another list", true);
                         }
                     }
                     let meanwhile = self.old_watch == Some(id);
-                    self.weigh_older(now, &listing);
+                    if self.weigh_older(now, &listing) {
+                        return self.watch_over(now, id, "an older list", true);
+                    }
                     if let Err(fault) = self.listed(now, &listing, false, meanwhile) {
                         return self.watch_failed(now, id, &fault);
                     }
@@ -94,17 +96,18 @@
         }
     }
 
-    /// Guards against a discovery that has started to count anew, whose lists would be refused for ever. An older list is
-    /// a late one for as long as the protocol lets news be late; a whole one that comes after that is taken as it is.
-    fn weigh_older(&mut self, now: Time, listing: &Listing) {
-        if listing.generation >= self.generation {
-            self.older_since = None;
-            return;
-        }
-        let since = *self.older_since.get_or_insert(now);
-        if listing.reset && now - since >= self.limits.told_within {
-            (self.generation, self.older_since) = (0, None);
+    /// Guards against a discovery that has started to count anew, whose lists would be refused for ever. No list
+    /// is late for longer than the protocol lets news be: that long after the list here was told, an older one
+    /// that is whole is taken as it is. Guards as well against a single one from long ago: true for the first in
+    /// a row, which is refused, and the whole asked for at once.
+    fn weigh_older(&mut self, now: Time, listing: &Listing) -> bool {
+        let before = std::mem::replace(&mut self.older, listing.generation < self.generation);
+        if !self.older {
+            self.told_at = now;
+        } else if before && listing.reset && now - self.told_at >= self.limits.told_within {
+            (self.generation, self.older, self.told_at) = (0, false, now);
         }
+        self.older && !before
     }
 
     /// A watch that had answered has fallen silent, or a call that follows one has no answer: it is asked again at once,
--- a/crates/ladderpass/tests/endings.rs
+++ b/crates/ladderpass/tests/endings.rs
@@ -365,16 +365,17 @@
     bed.passes("2");
 }
 
-/// Discovery counts anew from lower: late lists are refused, but not for longer than news may be late.
+/// Discovery counts anew from lower: late lists are refused, but not for longer than news may be late, from when the list
+/// here was told.
 #[test]
 fn a_discovery_that_counts_anew_is_believed_in_the_end() {
     let mut bed = bed(|told| told);
     bed.generation = 50;
     let here = instance(0, &bed.at(0), "SERVING");
+    let since = Instant::now();
     bed.tell(&here, true);
     bed.settle();
     let moved = instance(0, &bed.at(1), "SERVING");
-    let since = Instant::now();
     loop {
         bed.generation = 2;
         bed.tell(&moved, true);
