A pass over the members counts the list once, not for each of them

Cause: tend_probes asked probe_every for each member, which counts the list: the square of the members. Change: a round is reckoned once a pass and handed to probe_span. Decisions are the same.

--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -78,7 +78,7 @@
 const QUICK: f64 = 1.2;
 /// The shortest answer time is taken to be no more than this part of the soft deadline.
 const SOFT_PART: f64 = 0.2;
-/// Fair shares for a cold member at most, as far as the settings allow; roots of what all send it left for chance.
+/// Fair shares for a cold member at most, as the settings allow; roots of what all send it, left for chance.
 const COLD_SHARES: f64 = 2.0;
 const COLD_ROOM: f64 = 3.0;
 /// An RPC that could be sent nowhere is given up after this part of its client's time.
@@ -100,8 +100,8 @@
 const FORGET: Span = Span::from_millis(30_000);
 /// Evidence of a role younger than this outweighs the list.
 const LIST_LAG: Span = Span::from_millis(10_000);
-/// A failed list call is made again after this long, doubled up to 8 times, or this part of what is allowed; and so
-/// long after it was made at the latest, however it ends: with an answer's time that fits in 6 s (told).
+/// A failed list call is made again after this long, doubled up to 8 times, or this part of what is allowed;
+/// and so long after it was made at the latest, however it ends: an answer's time is within 6 s then (told).
 const LIST_AGAIN: Span = Span::from_millis(500);
 const LIST_DUE: f64 = 0.33;
 const LIST_LATEST: Span = Span::from_millis(4000);
@@ -466,9 +466,9 @@
         if now - member.told_at < NEWS_AGE { member.crowd().unwrap_or(1.0).max(1.0) } else { 1.0 }
     }
 
-    /// What a cold member may get: its ramp of fair shares of the group at its largest, as the primary of the writes
-    /// where these are more, less the room for chance. If each router keeps that, so does their sum. Each RPC taken
-    /// pays a part of one in, from a phase that is drawn, so that call-outs go out evenly, also of what waited.
+    /// What a cold member may get: its ramp of fair shares of the group at its largest, as primary of writes
+    /// where these are more, less room for chance. If each router keeps that, so does their sum. Each RPC
+    /// taken pays a part of one in, from a phase that is drawn: call-outs go out evenly, also of what waited.
     fn pay_in(&mut self, now: Time, arrival: &Arrival) {
         let level = self.rows[arrival.method as usize].method.level;
         let taken = self.fleet.reach_taken(arrival.group, MEASURE);
@@ -541,9 +541,9 @@
             let mut member = Member::new(entry.member, entry.group as usize, limit, MEASURE, sent);
             (member.mark, member.credit) = (entry.mark, self.chance.generate());
             self.fleet.add(member);
-            let first = (self.probe_span(now, index) - self.least_bound * TELL_PART).max(Span::ZERO);
+            let first = self.probe_span(self.probe_every(now), index) - self.least_bound * TELL_PART;
             let member = self.fleet.member_mut(index);
-            member.probe_at = now + first;
+            member.probe_at = now + first.max(Span::ZERO);
             self.probes_at = self.probes_at.min(member.probe_at);
         }
         let subtle = self.deployment.soft_removal && entry.standing == Standing::Off;
@@ -672,7 +672,7 @@
     }
 
     fn told_position(&mut self, now: Time, index: usize, position: Time) {
-        let every = self.probe_span(now, index);
+        let every = self.probe_span(self.probe_every(now), index);
         let member = self.fleet.member_mut(index);
         if position > member.position {
             (member.position, member.moved_at) = (position, now);
@@ -824,15 +824,16 @@
     }
 
     /// Routers that tell each other share one round, by turns; a turn that is missed falls to the next.
-    fn probe_span(&mut self, now: Time, index: usize) -> Span {
+    fn probe_span(&mut self, round: Span, index: usize) -> Span {
         if !self.deployment.shares_probes() {
-            return self.probe_every(now) * (0.75 + 0.5 * self.chance.generate::<f64>());
+            return round * (0.75 + 0.5 * self.chance.generate::<f64>());
         }
         (PROBE_EVERY.max(self.least_bound * TELL_PART) + SHARED_TURN * self.turn(index)).min(PROBE_SLOWEST)
     }
 
     fn tend_probes(&mut self, now: Time) {
         self.probes_at = now + PROBE_EVERY;
+        let round = self.probe_every(now); // it counts the list: once a pass, not for each member
         for index in 0..self.fleet.members.len() {
             let Some(member) = &mut self.fleet.members[index] else { continue };
             if member.standing == Standing::Off {
@@ -842,7 +843,7 @@
                 member.probe_sent = None;
                 self.missed(now, index, false);
             }
-            let every = self.probe_span(now, index);
+            let every = self.probe_span(round, index);
             let member = self.fleet.member_mut(index);
             // The round may have become shorter since; where it is shared, the first one goes by turns too.
             let told_at = member.probed_at.max(member.told_at);
