--- a/crates/ladderpass-lab/src/lib.rs
+++ b/crates/ladderpass-lab/src/lib.rs
@@ -3,6 +3,7 @@
 //! It owns how a router is put to the test. It must never be needed by a router that serves.
 
 pub mod bed;
+pub mod capacity;
 pub mod chaos;
 pub mod charts;
 pub mod drill;
--- /dev/null
+++ b/crates/ladderpass-lab/tests/slope.rs
@@ -0,0 +1,49 @@
+//! The straight line through points, its error, and what the page claims.
+
+use ladderpass_lab::capacity::slope::{Claim, Slope};
+
+fn slope(points: &[(f64, f64)]) -> Slope {
+    Slope { name: "s", x: "x", y: "y", points: points.to_vec() }
+}
+
+#[test]
+fn a_straight_line_is_found_without_error() {
+    let slope = slope(&[(500.0, 12.0), (1000.0, 22.0), (4000.0, 82.0)]);
+    let fit = slope.fit();
+    assert!((fit.slope - 0.02).abs() < 1e-12 && (fit.base - 2.0).abs() < 1e-9, "{fit:?}");
+    assert!(fit.error < 1e-9, "{fit:?}");
+    assert!((fit.at(5900.0) - 120.0).abs() < 1e-9);
+    assert_eq!(slope.range(), (500.0, 4000.0));
+}
+
+#[test]
+fn the_error_is_the_greatest_relative_residual_at_a_point() {
+    // By hand: means 2 and 3, slope 1.5, base 0; the line has 1.5, 3, 4.5 where 2, 2, 5 were measured.
+    let fit = slope(&[(1.0, 2.0), (2.0, 2.0), (3.0, 5.0)]).fit();
+    assert!((fit.slope - 1.5).abs() < 1e-12 && fit.base.abs() < 1e-12, "{fit:?}");
+    assert!((fit.error - 0.5).abs() < 1e-12, "{fit:?}");
+}
+
+#[test]
+fn too_few_points_give_no_slope_and_none_no_trust() {
+    let one = slope(&[(7.0, 3.0)]).fit();
+    assert_eq!((one.slope, one.base, one.error), (0.0, 3.0, 0.0));
+    assert_eq!(slope(&[(7.0, 3.0), (7.0, 5.0)]).fit().slope, 0.0);
+    assert!(slope(&[]).fit().error.is_infinite());
+    assert_eq!(slope(&[(1.0, 0.0), (2.0, 0.0)]).fit().error, 0.0);
+    assert!(slope(&[(1.0, 0.0), (2.0, 1.0), (3.0, 0.0)]).fit().error.is_infinite());
+}
+
+#[test]
+fn a_claim_is_read_from_its_row_alone() {
+    let page = "# Page\n\nwords with `statement_cpu` in them\n\n| name | value | within |\n|---|---|---|\n\
+        | `statement_cpu` | 1,250.5 µs | ±15% | run |\n| `twice` | 1 | 2% |\n| `twice` | 1 | 2% |\n\
+        | `bad` | many | 2% |\n| `bare` | 4 | 0.1 |\n";
+    let claim = Claim::read(page, "statement_cpu").unwrap();
+    assert_eq!((claim.value, claim.within), (1250.5, 0.15));
+    assert!(claim.holds(1250.5 * 1.149) && claim.holds(1250.5 * 0.851));
+    assert!(!claim.holds(1250.5 * 1.16) && !claim.holds(1250.5 * 0.84) && !claim.holds(f64::NAN));
+    for name in ["twice", "bad", "bare", "missing"] {
+        assert_eq!(Claim::read(page, name), None, "{name}");
+    }
+}
