--- a/crates/ladderpass-lab/src/capacity/data_path.rs
+++ b/crates/ladderpass-lab/src/capacity/data_path.rs
@@ -1,15 +1,324 @@
 //! Slopes of a router's data path: clients that rest, statements, connections to members, and turns of its loop.
 //!
-//! It owns how they are measured. It must never be needed by a router that serves.
+//! It owns what is measured, and over which range. Counts come from the router's own code in simulated time (`world`),
+//! CPU of a statement and memory from a real process (`process`). It must never be needed by a router that serves.
+
+pub mod process;
+pub mod world;
 
 use super::slope::Slope;
+use ladderpass_core::{Ended, Report, Span};
+use process::{Bed, Way};
+use std::io;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use world::{Counts, OF_GROUP, Shape, World};
 
-/// How much is measured: the short form for the proof, the long one for the page.
+/// How much is measured: the short form is for the proof, the long one for the page.
 #[derive(Clone, Debug)]
 pub struct Settings {
     pub long: bool,
+    /// The router's binary; without one the slopes of real processes are left out.
+    pub router: Option<PathBuf>,
+}
+
+/// The size, a router's part of it.
+pub const GROUPS: f64 = 313.0;
+pub const MEMBERS: f64 = 940.0;
+pub const ROUTERS: f64 = 460.0;
+pub const CLIENTS: f64 = 5900.0;
+pub const STATEMENTS: f64 = 520.0;
+
+/// All slopes; one whose process could not be played is left out, and told on standard error.
+pub fn measure(seed: u64, settings: &Settings) -> Vec<Slope> {
+    let mut slopes = pure(seed, settings.long).unwrap_or_else(|fault| {
+        eprintln!("data path, pure: {fault}");
+        Vec::new()
+    });
+    for part in [resting, statements, listed] {
+        match part(seed, settings) {
+            Ok(further) => slopes.extend(further),
+            Err(fault) => eprintln!("data path, processes: {fault}"),
+        }
+    }
+    slopes
+}
+
+fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied().unwrap_or(f64::NAN)
+}
+
+/// From the router's code alone.
+pub fn pure(seed: u64, long: bool) -> Result<Vec<Slope>, String> {
+    let repeats = if long { 9 } else { 5 };
+    let (mut turns, mut passes) = (Vec::new(), Vec::new());
+    for groups in [39, 78, 156, 313] {
+        let shape = Shape { rate: 0.0, clients: 0, ..Shape::of(groups) };
+        let members = shape.members() as f64;
+        turns.push((f64::from(groups), idle_turn(&shape, repeats, seed)?));
+        passes.push((members, probe_pass(&shape, repeats, seed)? / members * 1e3));
+    }
+    let mut rests = Vec::new();
+    for clients in [500, 1000, 2000, 4000, 5900] {
+        let shape = Shape { rate: 0.0, clients, memory_mb: 1024, ..Shape::of(13) };
+        rests.push((clients as f64, idle_turn(&shape, repeats, seed)?));
+    }
+    let (groups, warm, span): (&[u32], _, _) = match long {
+        true => (&[39, 78, 156, 313], Span::from_millis(20_000), Span::from_millis(60_000)),
+        false => (&[26, 52, 104, 208], Span::from_millis(14_000), Span::from_millis(20_000)),
+    };
+    let mut seen: Vec<(f64, f64, Counts)> = Vec::new();
+    for &groups in groups {
+        let shape = Shape::of(groups);
+        let counts = steady(&shape, warm, span, seed)?;
+        seen.push((shape.members() as f64, shape.rate, counts));
+    }
+    let of = |name, x, y, points| Slope { name, x, y, points };
+    let by_members = |value: fn(&Counts) -> f64| {
+        seen.iter().map(|(members, _, counts)| (*members, value(counts))).collect::<Vec<_>>()
+    };
+    let by_rate = |value: fn(&Counts) -> f64| {
+        seen.iter().map(|(_, rate, counts)| (*rate, value(counts))).collect::<Vec<_>>()
+    };
+    Ok(vec![
+        of("turn_cpu_groups", "groups", "us of CPU an idle turn", turns),
+        of("turn_cpu_resting", "resting clients", "us of CPU an idle turn", rests),
+        of("probe_pass_cpu", "members", "ns of CPU a member of a pass", passes),
+        of("links", "members", "connections to members", by_members(|counts| counts.links)),
+        of("probes", "statements/s", "probes a second", by_rate(|counts| counts.probes / counts.secs)),
+        of("opened", "statements/s", "client connections opened a second", by_rate(|c| c.opened / c.secs)),
+        of(
+            "clients_open",
+            "statements/s",
+            "client connections that are open",
+            by_rate(|counts| counts.clients),
+        ),
+        of("queries", "statements/s", "queries to members a second", by_rate(|c| c.queries / c.secs)),
+        of("member_bytes", "statements/s", "KB to members a second", by_rate(|c| c.bytes / c.secs / 1e3)),
+        of("turns", "statements/s", "turns a second", by_rate(|counts| counts.turns / counts.secs)),
+    ])
+}
+
+/// What is counted once it has run for a while.
+pub fn steady(shape: &Shape, warm: Span, span: Span, seed: u64) -> Result<Counts, String> {
+    let mut world = World::new(shape, seed)?;
+    world.run(warm);
+    Ok(world.run(span))
+}
+
+/// Microseconds of CPU of a turn with nothing to do, the clients of the shape at rest.
+pub fn idle_turn(shape: &Shape, repeats: usize, seed: u64) -> Result<f64, String> {
+    let mut world = World::new(shape, seed)?;
+    world.run(Span::from_millis(1000));
+    world.open_all();
+    Ok(median((0..repeats).map(|_| world.idle_turn(2000) * 1e6).collect()))
+}
+
+/// Microseconds of CPU of a pass in which a probe is due, the rest of the turn with it.
+pub fn probe_pass(shape: &Shape, repeats: usize, seed: u64) -> Result<f64, String> {
+    let (mut router, mut now) = World::core(shape, seed)?;
+    let mut passes = |count: usize| {
+        let mut cpu = 0.0;
+        for _ in 0..count {
+            // A pass is due after this in any case.
+            now = now + Span::from_millis(1000);
+            let before = world::cpu();
+            let upkeep = router.tend(now);
+            cpu += world::cpu() - before;
+            for member in upkeep.probes {
+                let report = Report {
+                    position: Some(now),
+                    primary: Some(member.0 % OF_GROUP == 0),
+                    ..Report::default()
+                };
+                router.probed(now, member, Ended::Ok, Span::from_millis(1), report);
+            }
+        }
+        cpu / count as f64 * 1e6
+    };
+    passes(20);
+    Ok(median((0..repeats).map(|_| passes(20)).collect()))
+}
+
+/// Memory, and descriptors, of clients that rest.
+fn resting(seed: u64, settings: &Settings) -> io::Result<Vec<Slope>> {
+    let Some(router) = &settings.router else { return Ok(Vec::new()) };
+    let (mut memory, mut descriptors) = (Vec::new(), Vec::new());
+    for clients in [500, 1000, 2000, 4000] {
+        // So much that no ring is given back for want of it.
+        let bed = Bed::start(router, 1, 2048, 20_000, seed)?;
+        let streams = bed.rest(clients)?;
+        memory.push((clients as f64, bed.resident()?));
+        descriptors.push((clients as f64, bed.descriptors()?));
+        drop(streams);
+    }
+    let of = |name, y, points| Slope { name, x: "resting clients", y, points };
+    Ok(vec![
+        of("resting_memory", "KiB resident", memory),
+        of("resting_descriptors", "descriptors", descriptors),
+    ])
+}
+
+/// CPU of statements on connections that stay, and on new ones. The two take turns, so that what else the machine does
+/// weighs on both alike; a point is the median of its runs.
+fn statements(seed: u64, settings: &Settings) -> io::Result<Vec<Slope>> {
+    let Some(router) = &settings.router else { return Ok(Vec::new()) };
+    let (repeats, warm, span) = match settings.long {
+        true => (5, Duration::from_millis(500), Duration::from_millis(3000)),
+        false => (3, Duration::from_millis(50), Duration::from_millis(350)),
+    };
+    let bed = Bed::start(router, 1, 192, 20_000, seed)?;
+    let ways = [("statement_cpu_kept", Way::Kept(16)), ("statement_cpu_anew", Way::Anew)];
+    let mut points = [Vec::new(), Vec::new()];
+    for rate in [200.0, 400.0, 800.0] {
+        let mut runs = [Vec::new(), Vec::new()];
+        for _ in 0..repeats {
+            for ((_, way), runs) in ways.iter().zip(&mut runs) {
+                let seen = bed.ask(*way, rate, warm, span)?;
+                runs.push((seen.asked / seen.secs, seen.cpu / seen.secs * 1e3));
+            }
+        }
+        for (points, runs) in points.iter_mut().zip(runs) {
+            let (x, y) = runs.into_iter().unzip();
+            points.push((median(x), median(y)));
+        }
+    }
+    let slope = |((name, _), points)| Slope { name, x: "statements/s", y: "ms of CPU a second", points };
+    Ok(ways.into_iter().zip(points).map(slope).collect())
+}
+
+/// Memory of a router before so many members, each of which it has been connected to.
+fn listed(seed: u64, settings: &Settings) -> io::Result<Vec<Slope>> {
+    let Some(router) = &settings.router else { return Ok(Vec::new()) };
+    let mut points = Vec::new();
+    for groups in [26, 52, 104, 208] {
+        let bed = Bed::start(router, groups, 2048, 20_000, seed)?;
+        // Probes, and statements that go round all groups, reach all members.
+        let rate = f64::from(groups) * 8.0;
+        bed.ask(Way::Kept(16), rate.min(800.0), Duration::ZERO, Duration::from_millis(1500))?;
+        points.push((f64::from(groups * OF_GROUP), bed.resident()?));
+    }
+    Ok(vec![Slope { name: "member_memory", x: "members", y: "KiB resident", points }])
+}
+
+/// What the slopes don't show, as tables: what bends, and the size itself.
+pub fn tables(seed: u64, router: Option<&Path>) -> Result<String, String> {
+    let (warm, span) = (Span::from_millis(15_000), Span::from_millis(40_000));
+    let base = Shape::of(78);
+    let mut text = String::from(
+        "| client's rest until closed, s | opened anew, of statements | open a router at 5,900 clients | refused |\n|---|---|---|---|\n",
+    );
+    for idle in [2.1, 5.0, 10.0, 30.0, 60.0] {
+        let shape = Shape { client_idle: Some(Span::from_secs_f64(idle)), ..base.clone() };
+        let counts = steady(&shape, Span::from_secs_f64(idle.max(15.0)), span, seed)?;
+        let (opened, open) =
+            (counts.opened / counts.statements, counts.clients / base.clients as f64 * CLIENTS);
+        text += &format!("| {idle} | {:.1}% | {open:.0} | {:.0} |\n", opened * 100.0, counts.refused);
+    }
+    text += "\n| answer time, ms | connections a pair, mean | most of a pair | made anew a router and second at 940 |\n|---|---|---|---|\n";
+    for ms in [1, 5, 20, 50, 200, 400] {
+        let counts = steady(&Shape { answer: Span::from_millis(ms), ..base.clone() }, warm, span, seed)?;
+        let (pairs, anew) = (base.members() as f64, counts.connects / counts.secs);
+        text += &format!(
+            "| {ms} | {:.3} | {} | {:.2} |\n",
+            counts.links / pairs,
+            counts.most_links,
+            anew / pairs * MEMBERS
+        );
+    }
+    text += "\n| statements a pair and second | data no older than, s | reads at the primary | probes a statement | mean wait, ms | connections a pair | refused |\n|---|---|---|---|---|---|---|\n";
+    for (rate, bound) in
+        [(0.05, 2.0), (0.14, 2.0), (0.553, 0.8), (0.553, 2.0), (0.553, 5.0), (2.2, 2.0), (8.8, 2.0)]
+    {
+        let shape = Shape { rate: rate * base.members() as f64, bound_ms: bound * 1e3, ..base.clone() };
+        let counts = steady(&shape, warm, span, seed)?;
+        let answered = (counts.served + counts.refused).max(1.0);
+        text += &format!(
+            "| {rate} | {bound} | {:.1}% | {:.2} | {:.2} | {:.3} | {:.2}% |\n",
+            counts.reads_at_primary / counts.reads * 100.0,
+            counts.probes / counts.statements,
+            counts.waited / answered * 1e3,
+            counts.links / base.members() as f64,
+            counts.refused / answered * 100.0,
+        );
+    }
+    text += "\n| at the size, one router | pure | real |\n|---|---|---|\n";
+    let shape = Shape { answer: Span::from_nanos(1), routers: 1, ..Shape::of(313) };
+    let pure = steady(&shape, warm, span, seed)?;
+    let real = match router {
+        Some(router) => Some(at_size(seed, router).map_err(|fault| fault.to_string())?),
+        None => None,
+    };
+    let real = |nth: usize| {
+        real.and_then(|real| real.get(nth).copied()).map_or("not run".into(), |v| format!("{v:.1}"))
+    };
+    for (nth, (name, value)) in [
+        ("statements/s", pure.statements / pure.secs),
+        ("opened anew a second", pure.opened / pure.secs),
+        ("connections to members", pure.links),
+        ("connections to members made a second", pure.connects / pure.secs),
+        ("probes a second", pure.probes / pure.secs),
+        ("client connections open", pure.clients),
+        ("ms of CPU a second", (pure.cpu_turns + pure.cpu_else) / pure.secs * 1e3),
+        ("of these in turns", pure.cpu_turns / pure.secs * 1e3),
+        ("turns a second", pure.turns / pure.secs),
+        ("mean wait, ms", pure.waited / pure.served.max(1.0) * 1e3),
+        ("reads at the primary, %", pure.reads_at_primary / pure.reads * 100.0),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let told = match nth {
+            0..=6 => real(nth),
+            9 => real(7),
+            _ => "not seen".into(),
+        };
+        text += &format!("| {name} | {value:.1} | {told} |\n");
+    }
+    text += &format!(
+        "| KiB resident | not seen | {} |\n| failed | {:.0} | {} |\n",
+        real(8),
+        pure.refused,
+        real(9)
+    );
+    Ok(text)
 }
 
-pub fn measure(_seed: u64, _settings: &Settings) -> Vec<Slope> {
-    Vec::new()
+/// A real router before 939 real members' stand-ins, with 5,900 clients in turn.
+fn at_size(seed: u64, router: &Path) -> io::Result<[f64; 10]> {
+    let bed = Bed::start(router, 313, 192, 20_000, seed)?;
+    let told_before = bed.log().len();
+    let seen =
+        bed.ask(Way::InTurn(5900), STATEMENTS, Duration::from_millis(24_000), Duration::from_millis(22_000))?;
+    let resident = bed.resident()?;
+    // The router's own tally, each for ten seconds; the last ones.
+    let tallies: Vec<String> =
+        bed.log().into_iter().skip(told_before).filter(|line| line.contains(" connects of ")).collect();
+    let of = |line: &String, after: &str, before: &str| -> Option<f64> {
+        let (head, _) = line.split_once(before)?;
+        let tail = head.rsplit_once(after).map_or(head, |(_, tail)| tail);
+        tail.split(|c: char| !c.is_ascii_digit()).rfind(|part| !part.is_empty())?.parse().ok()
+    };
+    let last: Vec<&String> = tallies.iter().rev().take(2).collect();
+    let mean = |value: &dyn Fn(&String) -> Option<f64>| {
+        last.iter().filter_map(|line| value(line)).sum::<f64>() / last.len().max(1) as f64
+    };
+    let probes = |line: &String| {
+        let (_, tail) = line.split_once("probes [")?;
+        let (list, _) = tail.split_once(']')?;
+        Some(list.split(',').filter_map(|count| count.trim().parse::<f64>().ok()).sum())
+    };
+    Ok([
+        seen.asked / seen.secs,
+        seen.opened / seen.secs,
+        mean(&|line| of(line, ") ", " links (")),
+        mean(&|line| of(line, "; ", " connects of")) / 10.0,
+        mean(&probes) / 10.0,
+        mean(&|line| of(line, "; ", " clients (")),
+        seen.cpu / seen.secs * 1e3,
+        seen.waited / seen.asked.max(1.0) * 1e3,
+        resident,
+        seen.failed,
+    ])
 }
