--- a/crates/ladderpass-lab/src/capacity/data_path.rs
+++ b/crates/ladderpass-lab/src/capacity/data_path.rs
@@ -1,14 +1,16 @@
-//! Slopes of a router's data path: clients that rest, statements, connections to members, and turns of its loop.
+//! Slopes of a router's data path: clients that rest, statements, connections to members, and turns of its
+//! loop.
 //!
-//! It owns what is measured, and over which range. Counts come from the router's own code in simulated time (`world`),
-//! CPU of a statement and memory from a real process (`process`). It must never be needed by a router that serves.
+//! It owns what is measured, and over which range. Counts come from the router's own code in simulated time
+//! (`world`), CPU of a statement and memory from a real process (`process`). It must never be needed by a
+//! router that serves.
 
 pub mod process;
 pub mod world;
 
 use super::slope::Slope;
 use ladderpass_core::{Ended, Report, Span};
-use process::{Bed, Way};
+use process::{Bed, Seen, Way};
 use std::io;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -160,8 +162,8 @@
     ])
 }
 
-/// CPU of statements on connections that stay, and on new ones. The two take turns, so that what else the machine does
-/// weighs on both alike; a point is the median of its runs.
+/// CPU of statements on connections that stay, and on new ones. The two take turns, so that what else the
+/// machine does weighs on both alike; a point is the median of its runs.
 fn statements(seed: u64, settings: &Settings) -> io::Result<Vec<Slope>> {
     let Some(router) = &settings.router else { return Ok(Vec::new()) };
     let (repeats, warm, span) = match settings.long {
@@ -206,9 +208,9 @@
 pub fn tables(seed: u64, router: Option<&Path>) -> Result<String, String> {
     let (warm, span) = (Span::from_millis(15_000), Span::from_millis(40_000));
     let base = Shape::of(78);
-    let mut text = String::from(
-        "| client's rest until closed, s | opened anew, of statements | open a router at 5,900 clients | refused |\n|---|---|---|---|\n",
-    );
+    let mut text =
+        String::from("| rest until closed, s | opened anew, of statements | open of 5,900 | refused |\n");
+    text += "|---|---|---|---|\n";
     for idle in [2.1, 5.0, 10.0, 30.0, 60.0] {
         let shape = Shape { client_idle: Some(Span::from_secs_f64(idle)), ..base.clone() };
         let counts = steady(&shape, Span::from_secs_f64(idle.max(15.0)), span, seed)?;
@@ -216,18 +218,22 @@
             (counts.opened / counts.statements, counts.clients / base.clients as f64 * CLIENTS);
         text += &format!("| {idle} | {:.1}% | {open:.0} | {:.0} |\n", opened * 100.0, counts.refused);
     }
-    text += "\n| answer time, ms | connections a pair, mean | most of a pair | made anew a router and second at 940 |\n|---|---|---|---|\n";
+    text += "\n| answer time, ms | connections a pair | most of a pair | made a second at 940 | refused |\n";
+    text += "|---|---|---|---|---|\n";
     for ms in [1, 5, 20, 50, 200, 400] {
         let counts = steady(&Shape { answer: Span::from_millis(ms), ..base.clone() }, warm, span, seed)?;
         let (pairs, anew) = (base.members() as f64, counts.connects / counts.secs);
         text += &format!(
-            "| {ms} | {:.3} | {} | {:.2} |\n",
+            "| {ms} | {:.3} | {} | {:.2} | {:.2}% |\n",
             counts.links / pairs,
             counts.most_links,
-            anew / pairs * MEMBERS
+            anew / pairs * MEMBERS,
+            counts.refused / (counts.served + counts.refused).max(1.0) * 100.0
         );
     }
-    text += "\n| statements a pair and second | data no older than, s | reads at the primary | probes a statement | mean wait, ms | connections a pair | refused |\n|---|---|---|---|---|---|---|\n";
+    text +=
+        "\n| statements a pair and s | data no older than, s | reads at the primary | probes a statement ";
+    text += "| mean wait, ms | connections a pair | refused |\n|---|---|---|---|---|---|---|\n";
     for (rate, bound) in
         [(0.05, 2.0), (0.14, 2.0), (0.553, 0.8), (0.553, 2.0), (0.553, 5.0), (2.2, 2.0), (8.8, 2.0)]
     {
@@ -243,82 +249,109 @@
             counts.refused / answered * 100.0,
         );
     }
-    text += "\n| at the size, one router | pure | real |\n|---|---|---|\n";
-    let shape = Shape { answer: Span::from_nanos(1), routers: 1, ..Shape::of(313) };
-    let pure = steady(&shape, warm, span, seed)?;
-    let real = match router {
-        Some(router) => Some(at_size(seed, router).map_err(|fault| fault.to_string())?),
-        None => None,
-    };
-    let real = |nth: usize| {
-        real.and_then(|real| real.get(nth).copied()).map_or("not run".into(), |v| format!("{v:.1}"))
+    let at_once = Shape { answer: Span::from_nanos(1), routers: 1, ..Shape::of(313) };
+    let rests = Shape { client_idle: Some(Span::from_millis(600_000)), ..at_once.clone() };
+    let pure = steady(&at_once, warm, span, seed)?;
+    let mut kept = World::new(&rests, seed)?;
+    kept.open_all();
+    kept.run(warm);
+    let kept = kept.run(span);
+    let real = router.map(|router| at_size(seed, router)).transpose().map_err(|fault| fault.to_string())?;
+    text += "\n| at the size, one router | pure | pure, clients kept | real |\n|---|---|---|---|\n";
+    let mut row = |name: &str, value: fn(&Counts) -> f64, real: Option<f64>| {
+        let real = real.map_or("not seen".to_owned(), |real| format!("{real:.1}"));
+        text += &format!("| {name} | {:.1} | {:.1} | {real} |\n", value(&pure), value(&kept));
     };
-    for (nth, (name, value)) in [
-        ("statements/s", pure.statements / pure.secs),
-        ("opened anew a second", pure.opened / pure.secs),
-        ("connections to members", pure.links),
-        ("connections to members made a second", pure.connects / pure.secs),
-        ("probes a second", pure.probes / pure.secs),
-        ("client connections open", pure.clients),
-        ("ms of CPU a second", (pure.cpu_turns + pure.cpu_else) / pure.secs * 1e3),
-        ("of these in turns", pure.cpu_turns / pure.secs * 1e3),
-        ("turns a second", pure.turns / pure.secs),
-        ("mean wait, ms", pure.waited / pure.served.max(1.0) * 1e3),
-        ("reads at the primary, %", pure.reads_at_primary / pure.reads * 100.0),
-    ]
-    .into_iter()
-    .enumerate()
-    {
-        let told = match nth {
-            0..=6 => real(nth),
-            9 => real(7),
-            _ => "not seen".into(),
+    let told = |value: fn(&AtSize) -> f64| real.as_ref().map(value);
+    row("statements/s", |c| c.statements / c.secs, told(|r| r.seen.asked / r.seen.secs));
+    row("opened anew a second", |c| c.opened / c.secs, told(|r| r.seen.opened / r.seen.secs));
+    row("client connections open", |c| c.clients, told(|r| r.clients));
+    row("connections to members", |c| c.links, told(|r| r.links));
+    row("connections to members made a second", |c| c.connects / c.secs, told(|r| r.connects));
+    row("probes a second", |c| c.probes / c.secs, told(|r| r.probes));
+    row("turns a second", |c| c.turns / c.secs, None);
+    row(
+        "ms of CPU a second",
+        |c| (c.cpu_turns + c.cpu_else) / c.secs * 1e3,
+        told(|r| r.seen.cpu / r.seen.secs * 1e3),
+    );
+    row("of these in turns", |c| c.cpu_turns / c.secs * 1e3, None);
+    row(
+        "mean wait, ms",
+        |c| c.waited / c.served.max(1.0) * 1e3,
+        told(|r| r.seen.waited / r.seen.asked * 1e3),
+    );
+    row("refused or failed", |c| c.refused, told(|r| r.seen.failed));
+    if let Some(real) = real {
+        text += &format!("\nReal: {:.0} KiB resident, {:.0} descriptors.\n", real.resident, real.descriptors);
+    }
+    if let Some(router) = router {
+        // The allowance that is usual, and sockets enough that none makes place.
+        let rest = || -> io::Result<(f64, f64, usize)> {
+            let bed = Bed::start(router, 1, 192, 24_000, seed)?;
+            let streams = bed.rest(CLIENTS as usize)?;
+            let open = streams.iter().filter(|stream| process::is_open(stream)).count();
+            Ok((bed.resident()?, bed.descriptors()?, open))
         };
-        text += &format!("| {name} | {value:.1} | {told} |\n");
+        let (resident, descriptors, open) = rest().map_err(|fault| fault.to_string())?;
+        text += &format!(
+            "\n5,900 at rest with 192 MB and 24,000 sockets told: {open} open, {resident:.0} KiB resident, \
+             {descriptors:.0} descriptors.\n"
+        );
+    }
+    text +=
+        "\n| members | us of CPU of a pass, each probes alone | where probes are shared |\n|---|---|---|\n";
+    for groups in [39, 78, 156, 313] {
+        let alone = Shape::of(groups);
+        let shared = Shape { shares_probes: true, ..alone.clone() };
+        text += &format!(
+            "| {} | {:.1} | {:.1} |\n",
+            alone.members(),
+            probe_pass(&alone, 9, seed)?,
+            probe_pass(&shared, 9, seed)?
+        );
     }
-    text += &format!(
-        "| KiB resident | not seen | {} |\n| failed | {:.0} | {} |\n",
-        real(8),
-        pure.refused,
-        real(9)
-    );
     Ok(text)
 }
 
-/// A real router before 939 real members' stand-ins, with 5,900 clients in turn.
-fn at_size(seed: u64, router: &Path) -> io::Result<[f64; 10]> {
+/// What a real router showed at the size.
+struct AtSize {
+    seen: Seen,
+    clients: f64,
+    links: f64,
+    connects: f64,
+    probes: f64,
+    resident: f64,
+    descriptors: f64,
+}
+
+/// A real router before the stand-ins of 939 members, with 5,900 clients that ask by chance.
+fn at_size(seed: u64, router: &Path) -> io::Result<AtSize> {
     let bed = Bed::start(router, 313, 192, 20_000, seed)?;
-    let told_before = bed.log().len();
-    let seen =
-        bed.ask(Way::InTurn(5900), STATEMENTS, Duration::from_millis(24_000), Duration::from_millis(22_000))?;
-    let resident = bed.resident()?;
-    // The router's own tally, each for ten seconds; the last ones.
-    let tallies: Vec<String> =
-        bed.log().into_iter().skip(told_before).filter(|line| line.contains(" connects of ")).collect();
-    let of = |line: &String, after: &str, before: &str| -> Option<f64> {
-        let (head, _) = line.split_once(before)?;
-        let tail = head.rsplit_once(after).map_or(head, |(_, tail)| tail);
-        tail.split(|c: char| !c.is_ascii_digit()).rfind(|part| !part.is_empty())?.parse().ok()
+    let (warm, span) = (Duration::from_millis(24_000), Duration::from_millis(22_000));
+    let seen = bed.ask(Way::ByChance(CLIENTS as usize), STATEMENTS, warm, span)?;
+    // The router's own tally, each of ten seconds; the last two lie within the time.
+    let log = bed.log();
+    let tallies: Vec<&String> =
+        log.iter().filter(|line| line.contains(" connects of ")).rev().take(2).collect();
+    let mean = |value: &dyn Fn(&str) -> Option<f64>| {
+        tallies.iter().filter_map(|line| value(line)).sum::<f64>() / tallies.len().max(1) as f64
     };
-    let last: Vec<&String> = tallies.iter().rev().take(2).collect();
-    let mean = |value: &dyn Fn(&String) -> Option<f64>| {
-        last.iter().filter_map(|line| value(line)).sum::<f64>() / last.len().max(1) as f64
+    // The number right before these words.
+    let before = |line: &str, words: &str| -> Option<f64> {
+        line.split_once(words)?.0.rsplit(|c: char| !c.is_ascii_digit()).next()?.parse().ok()
     };
-    let probes = |line: &String| {
-        let (_, tail) = line.split_once("probes [")?;
-        let (list, _) = tail.split_once(']')?;
+    let probes = |line: &str| {
+        let (list, _) = line.split_once("probes [")?.1.split_once(']')?;
         Some(list.split(',').filter_map(|count| count.trim().parse::<f64>().ok()).sum())
     };
-    Ok([
-        seen.asked / seen.secs,
-        seen.opened / seen.secs,
-        mean(&|line| of(line, ") ", " links (")),
-        mean(&|line| of(line, "; ", " connects of")) / 10.0,
-        mean(&probes) / 10.0,
-        mean(&|line| of(line, "; ", " clients (")),
-        seen.cpu / seen.secs * 1e3,
-        seen.waited / seen.asked.max(1.0) * 1e3,
-        resident,
-        seen.failed,
-    ])
+    Ok(AtSize {
+        seen,
+        clients: mean(&|line| before(line, " clients (")),
+        links: mean(&|line| before(line, " links (")),
+        connects: mean(&|line| before(line, " connects of")) / 10.0,
+        probes: mean(&probes) / 10.0,
+        resident: bed.resident()?,
+        descriptors: bed.descriptors()?,
+    })
 }
--- a/crates/ladderpass-lab/src/capacity/data_path/process.rs
+++ b/crates/ladderpass-lab/src/capacity/data_path/process.rs
@@ -1,11 +1,14 @@
-//! A real router as a process of its own, before the emulated fleet, with clients that rest or ask at a pace: its memory
-//! and its CPU time, as the kernel counts them.
+//! A real router as a process of its own, before the emulated fleet, with clients that rest or ask at a pace:
+//! its memory and its CPU time, as the kernel counts them.
 //!
-//! It owns the clients' sockets. It must never raise a limit of the machine, nor count time that the process waited.
+//! It owns the clients' sockets. It must never raise a limit of the machine, nor count time that the process
+//! waited.
 
 use crate::router::{Router, Start};
 use ladderpass_fleet::scenario::Allowed;
 use ladderpass_fleet::{Running, Scenario, proto};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use std::collections::VecDeque;
 use std::io::{self, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
@@ -26,8 +29,8 @@
     Kept(usize),
     /// Each over one of its own, that its client closes once it is answered.
     Anew,
-    /// Over so many in turn; one that the router has closed meanwhile is opened anew.
-    InTurn(usize),
+    /// Over so many by chance; one that the router has closed meanwhile is opened anew.
+    ByChance(usize),
 }
 
 /// What came of a pace.
@@ -104,7 +107,8 @@
         })
     }
 
-    /// Statements at a pace, a fifth of them writes, to all groups in turn; what came of those after the first while.
+    /// Statements at a pace, a fifth of them writes, to groups by chance; what came of those after the first
+    /// while.
     pub fn ask(&self, way: Way, rate: f64, warm: Duration, span: Duration) -> io::Result<Seen> {
         let (address, groups) = (self.address()?, u64::from(self.groups));
         static NEXT: AtomicU64 = AtomicU64::new(1);
@@ -113,10 +117,11 @@
         let asker = |nth: u64| -> io::Result<Seen> {
             let mut seen = Seen::default();
             let kept = match way {
-                Way::Kept(count) | Way::InTurn(count) => (count as u64).div_ceil(ASKERS).max(1) as usize,
+                Way::Kept(count) | Way::ByChance(count) => (count as u64).div_ceil(ASKERS).max(1) as usize,
                 Way::Anew => 1,
             };
             let mut streams: VecDeque<Option<TcpStream>> = (0..kept).map(|_| None).collect();
+            let mut chance = SmallRng::seed_from_u64(nth);
             for turn in 0u64.. {
                 let due = began + Duration::from_secs_f64((turn * ASKERS + nth) as f64 / rate);
                 if due >= ends {
@@ -124,8 +129,11 @@
                 }
                 std::thread::sleep(due.saturating_duration_since(Instant::now()));
                 let id = NEXT.fetch_add(1, Ordering::Relaxed);
-                let query = query(id, id % groups, id.is_multiple_of(5));
+                let query = query(id, chance.random_range(0..groups), chance.random_range(0..5) == 0);
                 let at = Instant::now();
+                if let Way::ByChance(_) = way {
+                    streams.swap(0, chance.random_range(0..kept));
+                }
                 let stream = streams.pop_front().flatten().filter(is_open);
                 let opened = stream.is_none();
                 let asked = stream.map_or_else(|| open(address), Ok).and_then(|mut stream| {
@@ -200,7 +208,7 @@
 }
 
 /// Has the router not closed it?
-fn is_open(stream: &TcpStream) -> bool {
+pub fn is_open(stream: &TcpStream) -> bool {
     let looked = stream.set_nonblocking(true).and_then(|()| stream.peek(&mut [0]));
     let waits = matches!(&looked, Err(fault) if fault.kind() == io::ErrorKind::WouldBlock);
     stream.set_nonblocking(false).is_ok() && waits
--- a/crates/ladderpass-lab/src/capacity/data_path/world.rs
+++ b/crates/ladderpass-lab/src/capacity/data_path/world.rs
@@ -1,8 +1,8 @@
-//! One router's own code without sockets, in simulated time, before members that answer after a given time and clients
-//! that each ask now and then: exact counts, and the CPU time of the router's part alone.
+//! One router's own code without sockets, in simulated time, before members that answer after a given time
+//! and clients that each ask now and then: exact counts, and the CPU time of the router's part alone.
 //!
-//! It owns the world around the reducer. It must never read a clock but to count CPU time, and must never be what a
-//! figure of a machine is taken from: system calls are not in it.
+//! It owns the world around the reducer. It must never read a clock but to count CPU time, and must never be
+//! what a figure of a machine is taken from: system calls are not in it.
 
 use ladderpass::launch::Launch;
 use ladderpass::reducer::{ConnId, Effect, Event, Reducer};
@@ -24,7 +24,8 @@
     /// Statements a second, a fifth of them writes, over so many clients by chance.
     pub rate: f64,
     pub clients: usize,
-    /// From a statement's way out until its answer, by chance about this mean; the way alone takes a tenth of it.
+    /// From a statement's way out until its answer, by chance about this mean; the way alone takes a tenth of
+    /// it.
     pub answer: Span,
     /// Routers that there are, for what each takes for its part; no others are in this world.
     pub routers: u32,
@@ -34,6 +35,8 @@
     pub memory_mb: u64,
     /// In place of the time after which the router closes a client that rests.
     pub client_idle: Option<Span>,
+    /// Routers tell each other what members told them, and share rounds of probes; nobody is heard here.
+    pub shares_probes: bool,
 }
 
 /// What was counted over a time.
@@ -132,8 +135,8 @@
 pub const OF_GROUP: u32 = 3;
 
 impl Shape {
-    /// So many groups, with the rate a pair of router and member and the time between a client's statements that the
-    /// size has.
+    /// So many groups, with the rate a pair of router and member and the time between a client's statements
+    /// that the size has.
     pub fn of(groups: u32) -> Shape {
         let rate = f64::from(groups * OF_GROUP) * 520.0 / 940.0;
         Shape {
@@ -146,6 +149,7 @@
             sockets: 24_000,
             memory_mb: 192,
             client_idle: None,
+            shares_probes: false,
         }
     }
 
@@ -180,6 +184,7 @@
         let _ = std::fs::remove_file(&path);
         let mut launch = launch?;
         launch.limits.client_idle = self.client_idle.unwrap_or(launch.limits.client_idle);
+        launch.facts.deployment.peers = self.shares_probes;
         Ok(launch)
     }
 }
@@ -369,7 +374,8 @@
         } else if let Some(index) = self.of_client.remove(&id) {
             let client = std::mem::take(&mut self.clients[index]);
             match client.asked {
-                // Closed on one that waits: the crossing of a close and a statement, which its client has to ask again.
+                // Closed on one that waits: the crossing of a close and a statement, which its client has to
+                // ask again.
                 Some(_) => self.counts.refused += 1.0,
                 None => self.counts.closed += 1.0,
             }
--- a/crates/ladderpass-lab/src/capacity/slope.rs
+++ b/crates/ladderpass-lab/src/capacity/slope.rs
@@ -1,5 +1,5 @@
-//! A slope: points as they were measured, the straight line through them, and how far they lie off it; and what the
-//! page claims, read out of its own table.
+//! A slope: points as they were measured, the straight line through them, and how far they lie off it; and
+//! what the page claims, read out of its own table.
 //!
 //! It owns the fit. It is pure, and must never measure anything.
 
@@ -12,8 +12,9 @@
     pub points: Vec<(f64, f64)>,
 }
 
-/// A straight line, and the greatest residual at a point of it over what was measured there. No slope where fewer
-/// than two values of x were measured; the error is infinite where nothing was, or where the line is off a zero.
+/// A straight line, and the greatest residual at a point of it over what was measured there. No slope where
+/// fewer than two values of x were measured; the error is infinite where nothing was, or where the line is
+/// off a zero.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Fit {
     pub slope: f64,
@@ -68,9 +69,10 @@
         (measured - self.value).abs() <= self.within * self.value.abs()
     }
 
-    /// The claim of this name in a page: a row of a table whose first cell is the name in code marks, its second the
-    /// value, its third the error in percent. Thousands may be told apart by commas or narrow spaces; a unit may
-    /// follow a number. None where there is no such row, more than one, or one that is not to be read.
+    /// The claim of this name in a page: a row of a table whose first cell is the name in code marks, its
+    /// second the value, its third the error in percent. Thousands may be told apart by commas or narrow
+    /// spaces; a unit may follow a number. None where there is no such row, more than one, or one that is not
+    /// to be read.
     pub fn read(page: &str, name: &'static str) -> Option<Claim> {
         let mut rows = page.lines().filter_map(|line| {
             let mut cells = line.trim().strip_prefix('|')?.split('|').map(str::trim);
--- a/crates/ladderpass-lab/tests/data_path.rs
+++ b/crates/ladderpass-lab/tests/data_path.rs
@@ -1,5 +1,5 @@
-//! The world around the router's own code: its counts, which the page's figures stand on, against what can be worked out
-//! by hand. No CPU times here: a machine may be busy.
+//! The world around the router's own code: its counts, which the page's figures stand on, against what can be
+//! worked out by hand. No CPU times here: a machine may be busy.
 
 use ladderpass_core::Span;
 use ladderpass_lab::capacity::data_path::steady;
@@ -55,7 +55,7 @@
     let counts = steady(&shape, WARM, SPAN, 9).unwrap();
     let pairs = shape.members() as f64;
     assert!((1.0..1.1).contains(&(counts.links / pairs)), "{} of {pairs}", counts.links);
-    // Where so little comes that a connection rests longer than it is kept, one is made anew for most statements.
+    // Where a connection rests longer than it is kept, one is made anew for most statements.
     let seldom = Shape { rate: shape.rate / 100.0, ..shape };
     let counts = steady(&seldom, WARM, SPAN, 9).unwrap();
     assert!(counts.links < pairs * 0.3, "{} of {pairs}", counts.links);
