--- a/crates/ladderpass-lab/examples/data_path.rs
+++ b/crates/ladderpass-lab/examples/data_path.rs
@@ -1,36 +1,46 @@
-//! Prints the slopes of a router's data path, and tables where it is asked for the long form, from the root:
-//! `cargo run --release -p ladderpass-lab --example data_path -- SEED [long]`. Without a router that was built
-//! (`target/release/ladderpass`) those of real processes are left out.
+//! Prints the slopes of a router's data path and the figures at the size, from the root of the tree: `cargo
+//! run --release -p ladderpass-lab --example data_path -- SEED [long|size]`. `long` has tables too, `size`
+//! only one router at the size itself. Without a built router (`target/release/ladderpass`) processes are
+//! left out.
 
 use ladderpass_lab::capacity::data_path::{self, Settings};
 use std::path::PathBuf;
 
 fn main() {
-    let mut words = std::env::args().skip(1);
-    let seed = words.next().and_then(|seed| seed.parse().ok()).unwrap_or(1);
-    let long = words.next().is_some_and(|word| word == "long");
-    let router = PathBuf::from("target/release/ladderpass");
-    let settings = Settings { long, router: Some(router).filter(|path| path.exists()) };
-    for slope in data_path::measure(seed, &settings) {
-        let (fit, (least, most)) = (slope.fit(), slope.range());
-        println!(
-            "{}: {} by {}, {} to {}: {:.6} each and {:.3}, error {:.1}%",
-            slope.name,
-            slope.y,
-            slope.x,
-            least,
-            most,
-            fit.slope,
-            fit.base,
-            fit.error * 100.0
-        );
-        let points: Vec<String> = slope.points.iter().map(|(x, y)| format!("({x:.1}, {y:.4})")).collect();
-        println!("  {}", points.join(" "));
-    }
-    if long {
-        match data_path::tables(seed, settings.router.as_deref()) {
-            Ok(tables) => println!("{tables}"),
-            Err(fault) => eprintln!("{fault}"),
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let seed = words.first().and_then(|seed| seed.parse().ok()).unwrap_or(1);
+    let form = words.get(1).map_or("", String::as_str);
+    let router = Some(PathBuf::from("target/release/ladderpass")).filter(|path| path.exists());
+    if form != "size" {
+        let slopes = data_path::measure(seed, &Settings { long: form == "long", router: router.clone() });
+        println!("| slope | y | x | range | each | base | error |\n|---|---|---|---|---|---|---|");
+        for slope in &slopes {
+            let (fit, (least, most)) = (slope.fit(), slope.range());
+            let (name, x, y, error) = (slope.name, slope.x, slope.y, fit.error * 100.0);
+            let (each, base) = (fit.slope, fit.base);
+            println!(
+                "| {name} | {y} | {x} | {least:.0} to {most:.0} | {each:.5} | {base:.2} | {error:.1}% |"
+            );
+        }
+        println!();
+        for slope in &slopes {
+            let points: Vec<String> = slope.points.iter().map(|(x, y)| format!("{x:.0}: {y:.3}")).collect();
+            println!("{}: {}", slope.name, points.join(", "));
+        }
+        println!();
+        for (name, figure) in data_path::figures(&slopes) {
+            println!("| `{name}` | {figure:.2} |");
         }
+        println!();
+    }
+    let tell = |table: Result<String, String>| match table {
+        Ok(table) => println!("{table}"),
+        Err(fault) => eprintln!("{fault}"),
+    };
+    if form == "long" {
+        tell(data_path::tables(seed));
+    }
+    if !form.is_empty() {
+        tell(data_path::size(seed, router.as_deref()));
     }
 }
--- a/crates/ladderpass-lab/src/capacity/data_path.rs
+++ b/crates/ladderpass-lab/src/capacity/data_path.rs
@@ -204,8 +204,8 @@
     Ok(vec![Slope { name: "member_memory", x: "members", y: "KiB resident", points }])
 }
 
-/// What the slopes don't show, as tables: what bends, and the size itself.
-pub fn tables(seed: u64, router: Option<&Path>) -> Result<String, String> {
+/// What the slopes don't show, as tables: what bends. Of the router's code alone.
+pub fn tables(seed: u64) -> Result<String, String> {
     let (warm, span) = (Span::from_millis(15_000), Span::from_millis(40_000));
     let base = Shape::of(78);
     let mut text =
@@ -249,6 +249,24 @@
             counts.refused / answered * 100.0,
         );
     }
+    text += "\n| members | us of CPU of a pass, each alone | where probes are shared |\n|---|---|---|\n";
+    for groups in [39, 78, 156, 313] {
+        let alone = Shape::of(groups);
+        let shared = Shape { shares_probes: true, ..alone.clone() };
+        text += &format!(
+            "| {} | {:.1} | {:.1} |\n",
+            alone.members(),
+            probe_pass(&alone, 9, seed)?,
+            probe_pass(&shared, 9, seed)?
+        );
+    }
+    Ok(text)
+}
+
+/// One router at the size itself: its code in simulated time, with the idle time of today and with clients
+/// that are kept; and a real one, where there is a binary.
+pub fn size(seed: u64, router: Option<&Path>) -> Result<String, String> {
+    let (warm, span) = (Span::from_millis(15_000), Span::from_millis(40_000));
     let at_once = Shape { answer: Span::from_nanos(1), routers: 1, ..Shape::of(313) };
     let rests = Shape { client_idle: Some(Span::from_millis(600_000)), ..at_once.clone() };
     let pure = steady(&at_once, warm, span, seed)?;
@@ -257,7 +275,8 @@
     kept.run(warm);
     let kept = kept.run(span);
     let real = router.map(|router| at_size(seed, router)).transpose().map_err(|fault| fault.to_string())?;
-    text += "\n| at the size, one router | pure | pure, clients kept | real |\n|---|---|---|---|\n";
+    let mut text = String::from("| at the size, one router | pure | pure, clients kept | real |\n");
+    text += "|---|---|---|---|\n";
     let mut row = |name: &str, value: fn(&Counts) -> f64, real: Option<f64>| {
         let real = real.map_or("not seen".to_owned(), |real| format!("{real:.1}"));
         text += &format!("| {name} | {:.1} | {:.1} | {real} |\n", value(&pure), value(&kept));
@@ -283,7 +302,10 @@
     );
     row("refused or failed", |c| c.refused, told(|r| r.seen.failed));
     if let Some(real) = real {
-        text += &format!("\nReal: {:.0} KiB resident, {:.0} descriptors.\n", real.resident, real.descriptors);
+        text += &format!(
+            "\nReal: {:.0} KiB resident; {:.0} descriptors once the clients had gone.\n",
+            real.resident, real.descriptors
+        );
     }
     if let Some(router) = router {
         // The allowance that is usual, and sockets enough that none makes place.
@@ -299,18 +321,6 @@
              {descriptors:.0} descriptors.\n"
         );
     }
-    text +=
-        "\n| members | us of CPU of a pass, each probes alone | where probes are shared |\n|---|---|---|\n";
-    for groups in [39, 78, 156, 313] {
-        let alone = Shape::of(groups);
-        let shared = Shape { shares_probes: true, ..alone.clone() };
-        text += &format!(
-            "| {} | {:.1} | {:.1} |\n",
-            alone.members(),
-            probe_pass(&alone, 9, seed)?,
-            probe_pass(&shared, 9, seed)?
-        );
-    }
     Ok(text)
 }
 
@@ -355,3 +365,37 @@
         descriptors: bed.descriptors()?,
     })
 }
+
+/// What a router, a member and all of them bear at the size, worked out from the slopes: each under the name
+/// that the page has it by. A slope that was not measured leaves its figures out.
+pub fn figures(slopes: &[Slope]) -> Vec<(&'static str, f64)> {
+    let fit = |name: &str| slopes.iter().find(|slope| slope.name == name).map(Slope::fit);
+    let at = |name: &str, x: f64| fit(name).map(|fit| fit.at(x));
+    let each = |name: &str| fit(name).map(|fit| fit.slope);
+    let of_member = ROUTERS / MEMBERS;
+    let pass = at("probe_pass_cpu", MEMBERS).map(|nanos| nanos * MEMBERS / 1e3);
+    let probes = at("probes", STATEMENTS);
+    let figures = [
+        ("router_links", at("links", MEMBERS)),
+        ("router_probes", probes),
+        ("router_opened", at("opened", STATEMENTS)),
+        ("router_clients_open", at("clients_open", STATEMENTS)),
+        ("router_queries", at("queries", STATEMENTS)),
+        ("router_member_kb", at("member_bytes", STATEMENTS)),
+        ("router_turns", at("turns", STATEMENTS)),
+        ("router_turn_us", at("turn_cpu_groups", GROUPS)),
+        ("router_pass_us", pass),
+        ("router_passes_ms", pass.zip(probes).map(|(micros, probes)| micros * probes / 1e3)),
+        ("client_kib", each("resting_memory")),
+        ("client_descriptors", each("resting_descriptors")),
+        ("listed_member_kib", each("member_memory")),
+        ("statement_kept_us", each("statement_cpu_kept").map(|ms| ms * 1e3)),
+        ("statement_anew_us", each("statement_cpu_anew").map(|ms| ms * 1e3)),
+        ("member_links", at("links", MEMBERS).map(|links| links * of_member)),
+        ("member_probes", probes.map(|probes| probes * of_member)),
+        ("member_queries", at("queries", STATEMENTS).map(|queries| queries * of_member)),
+        ("member_kb", at("member_bytes", STATEMENTS).map(|kb| kb * of_member)),
+        ("all_opened", at("opened", STATEMENTS).map(|opened| opened * ROUTERS)),
+    ];
+    figures.into_iter().filter_map(|(name, figure)| Some((name, figure?))).collect()
+}
