--- a/crates/ladderpass-lab/examples/data_path.rs
+++ b/crates/ladderpass-lab/examples/data_path.rs
@@ -1,7 +1,7 @@
-//! Prints the slopes of a router's data path and the figures at the size, from the root of the tree: `cargo
-//! run --release -p ladderpass-lab --example data_path -- SEED [long|size]`. `long` has tables too, `size`
-//! only one router at the size itself. Without a built router (`target/release/ladderpass`) processes are
-//! left out.
+//! Prints the slopes of a router's data path and the figures at the size, from the root of the tree:
+//! `cargo run --release -p ladderpass-lab --example data_path -- SEED [long|tables|size]`
+//! `long` has all, `tables` only what bends, `size` only one router at the size itself. Without a built router
+//! (`target/release/ladderpass`) real processes are left out.
 
 use ladderpass_lab::capacity::data_path::{self, Settings};
 use std::path::PathBuf;
@@ -11,7 +11,7 @@
     let seed = words.first().and_then(|seed| seed.parse().ok()).unwrap_or(1);
     let form = words.get(1).map_or("", String::as_str);
     let router = Some(PathBuf::from("target/release/ladderpass")).filter(|path| path.exists());
-    if form != "size" {
+    if matches!(form, "" | "long") {
         let slopes = data_path::measure(seed, &Settings { long: form == "long", router: router.clone() });
         println!("| slope | y | x | range | each | base | error |\n|---|---|---|---|---|---|---|");
         for slope in &slopes {
@@ -37,10 +37,10 @@
         Ok(table) => println!("{table}"),
         Err(fault) => eprintln!("{fault}"),
     };
-    if form == "long" {
+    if matches!(form, "long" | "tables") {
         tell(data_path::tables(seed));
     }
-    if !form.is_empty() {
+    if matches!(form, "long" | "size") {
         tell(data_path::size(seed, router.as_deref()));
     }
 }
--- a/crates/ladderpass-lab/src/capacity/data_path.rs
+++ b/crates/ladderpass-lab/src/capacity/data_path.rs
@@ -74,7 +74,8 @@
     for &groups in groups {
         let shape = Shape::of(groups);
         let counts = steady(&shape, warm, span, seed)?;
-        seen.push((shape.members() as f64, shape.rate, counts));
+        // By those that came, which scatter about the rate.
+        seen.push((shape.members() as f64, counts.statements / counts.secs, counts));
     }
     let of = |name, x, y, points| Slope { name, x, y, points };
     let by_members = |value: fn(&Counts) -> f64| {
@@ -146,20 +147,29 @@
 /// Memory, and descriptors, of clients that rest.
 fn resting(seed: u64, settings: &Settings) -> io::Result<Vec<Slope>> {
     let Some(router) = &settings.router else { return Ok(Vec::new()) };
-    let (mut memory, mut descriptors) = (Vec::new(), Vec::new());
+    let (mut memory, mut descriptors, mut cpu) = (Vec::new(), Vec::new(), Vec::new());
     for clients in [500, 1000, 2000, 4000] {
         // So much that no ring is given back for want of it.
         let bed = Bed::start(router, 1, 2048, 20_000, seed)?;
         let streams = bed.rest(clients)?;
         memory.push((clients as f64, bed.resident()?));
         descriptors.push((clients as f64, bed.descriptors()?));
+        if settings.long {
+            // None is closed yet: they may rest for longer.
+            let before = bed.cpu()?;
+            std::thread::sleep(Duration::from_millis(800));
+            cpu.push((clients as f64, (bed.cpu()? - before) / 0.8 * 1e3));
+        }
         drop(streams);
     }
     let of = |name, y, points| Slope { name, x: "resting clients", y, points };
-    Ok(vec![
+    let mut slopes = vec![
         of("resting_memory", "KiB resident", memory),
         of("resting_descriptors", "descriptors", descriptors),
-    ])
+    ];
+    slopes
+        .extend(Some(of("resting_cpu", "ms of CPU a second", cpu)).filter(|slope| !slope.points.is_empty()));
+    Ok(slopes)
 }
 
 /// CPU of statements on connections that stay, and on new ones. The two take turns, so that what else the
@@ -249,6 +259,35 @@
             counts.refused / answered * 100.0,
         );
     }
+    text +=
+        "\n| members full for this router | statements refused | reads at the primary | connects/s at 940 ";
+    text += "| mean wait, ms |\n|---|---|---|---|---|\n";
+    for full in [0.0, 0.1, 0.36, 0.79] {
+        let counts = steady(&Shape { full, ..base.clone() }, warm, span, seed)?;
+        let answered = (counts.served + counts.refused).max(1.0);
+        text += &format!(
+            "| {:.0}% | {:.1}% | {:.1}% | {:.1} | {:.2} |\n",
+            full * 100.0,
+            counts.refused / answered * 100.0,
+            counts.reads_at_primary / counts.reads * 100.0,
+            counts.connects / counts.secs / base.members() as f64 * MEMBERS,
+            counts.waited / answered * 1e3,
+        );
+    }
+    text +=
+        "\n| second after the start, at the size | connects | probes | statements served | mean wait, ms |\n";
+    text += "|---|---|---|---|---|\n";
+    let mut world = World::new(&Shape::of(313), seed)?;
+    for second in 1..=10 {
+        let counts = world.run(Span::from_millis(1000));
+        text += &format!(
+            "| {second} | {:.0} | {:.0} | {:.0} | {:.2} |\n",
+            counts.connects,
+            counts.probes,
+            counts.served,
+            counts.waited / counts.served.max(1.0) * 1e3
+        );
+    }
     text += "\n| members | us of CPU of a pass, each alone | where probes are shared |\n|---|---|---|\n";
     for groups in [39, 78, 156, 313] {
         let alone = Shape::of(groups);
--- a/crates/ladderpass-lab/src/capacity/data_path/world.rs
+++ b/crates/ladderpass-lab/src/capacity/data_path/world.rs
@@ -37,6 +37,8 @@
     pub client_idle: Option<Span>,
     /// Routers tell each other what members told them, and share rounds of probes; nobody is heard here.
     pub shares_probes: bool,
+    /// Part of the members, by chance, that have no connection left for this router and turn it away.
+    pub full: f64,
 }
 
 /// What was counted over a time.
@@ -94,6 +96,7 @@
     Up(ConnId),
     Says(ConnId, Vec<u8>),
     Beat(ConnId),
+    Ends(ConnId),
 }
 
 pub struct World {
@@ -108,6 +111,7 @@
     of_client: HashMap<ConnId, usize>,
     links: HashMap<ConnId, Link>,
     of_member: Vec<u32>,
+    full: Vec<bool>,
     effects: Vec<Effect>,
     chance: SmallRng,
     counts: Counts,
@@ -150,6 +154,7 @@
             memory_mb: 192,
             client_idle: None,
             shares_probes: false,
+            full: 0.0,
         }
     }
 
@@ -203,8 +208,11 @@
             members.insert(address, nth);
         }
         let discovery = launch.discovery;
+        let mut chance = SmallRng::seed_from_u64(seed);
+        let full = (0..members.len()).map(|_| shape.full > 0.0 && chance.random::<f64>() < shape.full);
         let mut world = World {
             of_member: vec![0; members.len()],
+            full: full.collect(),
             reducer: Reducer::start(now, launch),
             now,
             shape: shape.clone(),
@@ -216,7 +224,7 @@
             of_client: HashMap::new(),
             links: HashMap::new(),
             effects: Vec::new(),
-            chance: SmallRng::seed_from_u64(seed),
+            chance,
             counts: Counts::default(),
             reading: reading(),
         };
@@ -441,6 +449,12 @@
             let Some(length) = proto::startup(&link.inbox) else { return };
             (link.opened, used) = (true, length);
             let mut welcome = Vec::new();
+            if self.full.get(member).copied().unwrap_or(false) {
+                link.inbox.clear();
+                proto::put_error(&mut welcome, "FATAL", "53300");
+                self.plan(WAY + WAY, Happening::Says(id, welcome));
+                return self.plan(WAY * 2.0, Happening::Ends(id));
+            }
             proto::put_welcome(&mut welcome);
             said.push((WAY + WAY, welcome));
         }
@@ -497,6 +511,11 @@
                     self.feed(id, &bytes);
                 }
             }
+            Happening::Ends(id) => {
+                if self.links.contains_key(&id) {
+                    self.apply(Event::Closed(id));
+                }
+            }
             Happening::Beat(id) => {
                 if self.links.contains_key(&id) {
                     self.feed(id, b"1\r\n\n\r\n");
--- a/crates/ladderpass-lab/tests/data_path.rs
+++ b/crates/ladderpass-lab/tests/data_path.rs
@@ -61,3 +61,15 @@
     assert!(counts.links < pairs * 0.3, "{} of {pairs}", counts.links);
     assert!(counts.connects > 0.5 * counts.statements, "{counts:?}");
 }
+
+#[test]
+fn a_member_that_is_full_turns_its_writes_away() {
+    let shape = Shape { full: 1.0, ..Shape::of(20) };
+    let counts = steady(&shape, WARM, SPAN, 4).unwrap();
+    assert!(counts.served == 0.0 && counts.refused > 0.9 * counts.statements, "{counts:?}");
+    assert_eq!(counts.queries, 0.0);
+    // Where a part is, so are the primaries of a part of the groups, and no other may take their writes.
+    let counts = steady(&Shape { full: 0.36, ..shape }, WARM, SPAN, 4).unwrap();
+    let share = counts.refused / counts.statements;
+    assert!((0.03..0.25).contains(&share), "{share}");
+}
