--- a/crates/ladderpass-lab/src/capacity/data_path.rs
+++ b/crates/ladderpass-lab/src/capacity/data_path.rs
@@ -68,7 +68,7 @@
     }
     let (groups, warm, span): (&[u32], _, _) = match long {
         true => (&[39, 78, 156, 313], Span::from_millis(20_000), Span::from_millis(60_000)),
-        false => (&[26, 52, 104, 208], Span::from_millis(14_000), Span::from_millis(20_000)),
+        false => (&[26, 52, 104, 208], Span::from_millis(14_000), Span::from_millis(36_000)),
     };
     let mut seen: Vec<(f64, f64, Counts)> = Vec::new();
     for &groups in groups {
--- a/crates/ladderpass-lab/src/capacity/data_path/world.rs
+++ b/crates/ladderpass-lab/src/capacity/data_path/world.rs
@@ -232,7 +232,6 @@
             let gap = world.gap();
             world.plan(gap, Happening::Asks);
         }
-        world.pump();
         Ok(world)
     }
 
@@ -240,6 +239,8 @@
     pub fn run(&mut self, span: Span) -> Counts {
         self.counts = Counts::default();
         let (began, ends) = (self.now, self.now + span);
+        // What is due at once; after the start that is the most.
+        self.pump();
         loop {
             let next = self.agenda.first_key_value().map_or(ends, |(&(at, _), _)| at);
             let wake = self.reducer.wake().unwrap_or(ends);
