--- a/crates/ladderpass-core/src/interface.rs
+++ b/crates/ladderpass-core/src/interface.rs
@@ -316,6 +316,13 @@
         self.fleet.knows(member) && self.fleet.member(member.0 as usize).standing == Standing::On
     }
 
+    /// The newest position that is proven of a member, and whether its group is led by it, for who looks on.
+    pub fn knows_of(&self, member: MemberId) -> Option<(Time, bool)> {
+        let known = self.fleet.knows(member).then(|| self.fleet.member(member.0 as usize))?;
+        let primary = self.fleet.groups.get(known.group)?.primary;
+        Some((known.position, primary == Some(member.0 as usize)))
+    }
+
     /// What this router sees of each member, for what all reckon together.
     pub fn seen(&self, now: Time) -> impl Iterator<Item = Seen> {
         self.fleet.members.iter().flatten().filter(|member| member.standing == Standing::On).map(
--- a/crates/ladderpass-lab/src/capacity/mod.rs
+++ b/crates/ladderpass-lab/src/capacity/mod.rs
@@ -3,5 +3,7 @@
 //!
 //! It owns the parts' order alone. It must never be needed by a router that serves.
 
+pub mod control;
 pub mod data_path;
+pub mod hollow;
 pub mod slope;
--- a/crates/ladderpass-lab/src/main.rs
+++ b/crates/ladderpass-lab/src/main.rs
@@ -5,6 +5,8 @@
 use clap::{Args, Parser, Subcommand};
 use ladderpass_core::Span;
 use ladderpass_fleet::{Running, Scenario};
+use ladderpass_lab::capacity::control;
+use ladderpass_lab::capacity::hollow::Shape;
 use ladderpass_lab::drill::{self, Drill};
 use ladderpass_lab::{bed, chaos, load, prove, results, router};
 use std::net::Ipv4Addr;
@@ -133,6 +135,31 @@
         #[arg(long, default_value = "target/chaos")]
         out: PathBuf,
     },
+    /// One world of hollow routers: what a router of it says and does a second
+    Hollow {
+        #[arg(long, default_value_t = 16)]
+        routers: usize,
+        #[arg(long, default_value_t = 8)]
+        groups: usize,
+        /// Of all groups; three for each, if not said
+        #[arg(long)]
+        members: Option<usize>,
+        /// Statements a second that come to a router
+        #[arg(long, default_value_t = 25.0)]
+        rate: f64,
+        /// They shed and pay as one
+        #[arg(long)]
+        fleet: bool,
+        /// All slopes of control instead, in the long form or the proof's
+        #[arg(long)]
+        slopes: bool,
+        #[arg(long)]
+        long: bool,
+        #[arg(long, default_value_t = 10.0)]
+        seconds: f64,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// CPU an RPC of one or two routers, side by side, by clients that each ask again once they are answered
     Cost {
         /// The routers' binaries
@@ -245,6 +272,28 @@
             }
             if found.broken.is_empty() { Ok(()) } else { Err("rules were broken".into()) }
         }
+        Command::Hollow { slopes: true, seed, long, .. } => {
+            let slopes =
+                control::measure(seed, &control::Settings { long }).map_err(|fault| fault.to_string())?;
+            for slope in &slopes {
+                println!(
+                    "{} ({} by {}): {:?}\n  {:?}",
+                    slope.name,
+                    slope.y,
+                    slope.x,
+                    slope.points,
+                    slope.fit()
+                );
+            }
+            Ok(())
+        }
+        Command::Hollow { routers, groups, members, rate, fleet, seconds, seed, .. } => {
+            let members = members.unwrap_or(3 * groups);
+            let shape = Shape { members, rate, fleet, seed, observed: 2, ..Shape::of(routers, groups) };
+            let rates = control::rates(&shape, seconds).map_err(|fault| fault.to_string())?;
+            println!("{rates:#?}");
+            Ok(())
+        }
         Command::Cost { binaries, clients, seconds, pipeline, operator } => {
             let read = |path| std::fs::read_to_string(path).map_err(|fault| fault.to_string());
             let operator = operator.map(read).transpose()?;
--- a/crates/ladderpass/src/reducer.rs
+++ b/crates/ladderpass/src/reducer.rs
@@ -371,6 +371,16 @@
         self.members.len()
     }
 
+    /// The list that it goes by, as discovery counts them.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// The newest proven position of a member, by its id, and whether it is known as a primary.
+    pub fn knows_of(&self, id: &str) -> Option<(Time, bool)> {
+        self.router.knows_of(MemberId(self.names.known(id)?))
+    }
+
     /// Call-outs that are out, and connections that carry one or come up for one: as many at all times.
     pub fn carrying(&self) -> (usize, usize) {
         let carries = |conn: &&Conn| match &conn.peer {
--- a/crates/ladderpass/src/reducer/peers.rs
+++ b/crates/ladderpass/src/reducer/peers.rs
@@ -144,6 +144,16 @@
 }
 
 impl Reducer {
+    /// Routers that it takes for alive, itself among them, and a number for just these; None: it talks to nobody.
+    pub fn view(&self) -> Option<(usize, u32)> {
+        self.peers.as_ref().map(|peers| (peers.view.count, peers.view.digest))
+    }
+
+    /// What all routers reckon together, by group.
+    pub fn reckoned(&self) -> Vec<ladderpass_concert::Figures> {
+        self.peers.iter().filter_map(|peers| peers.concert.as_ref()).flat_map(Concert::figures).collect()
+    }
+
     /// Datagrams for other routers; they are taken as they are sent.
     pub fn datagrams(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
         self.peers.as_mut().map_or(Vec::new(), |peers| std::mem::take(&mut peers.out))
