Capacity: docs/CAPACITY.md, its proof, and events of the plan in hollow worlds

prove capacity measures each figure of the page's table anew and compares it within the error stated there; a figure without a slope, and a slope's figure without a row, fall short too. make capacity writes tables and charts.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Everyday tasks; README.md says what the router must be told for `run`.
-.PHONY: build test lint run lab prove chaos faulty earlier
+.PHONY: build test lint run lab prove capacity chaos faulty earlier
 
 # The program that later ones are measured against, built beside this one from the history.
 NAME = overload
@@ -38,6 +38,10 @@
 		$(if $(wildcard $(BEFORE)),--earlier $(BEFORE)) \
 		$(if $(filter $(FAULTED),$(NAME)),--faulty target/faulty/ladderpass)
 
+# make capacity SEED=n: the longer runs behind docs/CAPACITY.md, minutes; tables and charts in docs/experiments/capacity.
+capacity: lab
+	target/release/ladderpass-lab capacity --seed $(SEED)
+
 # make chaos MINUTES=n: plans of faults drawn from SEED on; what breaks a rule is shrunk and written.
 chaos: lab
 	target/release/ladderpass-lab chaos --minutes $(MINUTES) --seed $(SEED)
--- a/crates/ladderpass-lab/src/capacity/control.rs
+++ b/crates/ladderpass-lab/src/capacity/control.rs
@@ -36,6 +36,8 @@
 
 /// Routers find each other and ask all members within this.
 pub const SETTLES: Span = Span::from_millis(6000);
+/// A few routers within this.
+const STARTED: Span = Span::from_millis(4000);
 
 /// Runs a world until it has settled, and then for so many seconds.
 pub fn rates(shape: &Shape, seconds: f64) -> io::Result<Rates> {
@@ -94,35 +96,22 @@
     Shape { members, rate: RATE * groups as f64 / GROUPS as f64, seed, ..Shape::of(routers, groups) }
 }
 
-/// All slopes of control; a world that can't be had is a fault.
-pub fn measure(seed: u64, settings: &Settings) -> io::Result<Vec<Slope>> {
+/// All slopes of control, with what `memory` gave; a world that can't be had is a fault.
+pub fn measure(seed: u64, settings: &Settings, memory: Vec<(f64, f64)>) -> io::Result<Vec<Slope>> {
     let long = settings.long;
     // Words on a member go every 0.8 s where reads may be 2 s old: whole turns of that.
-    let seconds = if long { 8.0 } else { 4.0 };
+    let seconds = if long { 8.0 } else { 3.2 };
     let watched = |shape: Shape| Shape { observed: 4, ..shape };
-    let memory = memory(seed)?;
-    let by_groups = lanes(&[16, 48, 96, 192, GROUPS], |groups| {
-        rates(&watched(sized(if long { 32 } else { 12 }, groups, seed)), seconds)
+    // The dearest beside all others.
+    let groups: &[usize] = if long { &[16, 48, 96, 192, GROUPS] } else { &[16, 64, 160, GROUPS] };
+    let of_groups = || lanes(groups, |groups| settled(&watched(sized(16, groups, seed)), STARTED, seconds));
+    let (by_groups, others) = std::thread::scope(|scope| {
+        let beside = scope.spawn(of_groups);
+        let others = others(seed, long, seconds);
+        let by_groups = beside.join().unwrap_or_else(|_| Err(io::Error::other("a lane failed")));
+        io::Result::Ok((by_groups?, others?))
     })?;
-    let by_routers = lanes(if long { &[8, 16, 32, 64, 128] } else { &[8, 16, 32, 64] }, |routers| {
-        rates(&sized(routers, 16, seed), seconds)
-    })?;
-    let quiet = lanes(&[128, 256, ROUTERS], |routers| {
-        // All at once they take longer to find each other.
-        settled(&watched(Shape { rate: 0.0, seed, ..Shape::of(routers, 1) }), SETTLES * 3.0, seconds / 2.0)
-    })?;
-    let pairs: &[(usize, usize)] = if long {
-        &[(16, 16), (32, 16), (32, 32), (64, 32), (64, 64)]
-    } else {
-        &[(16, 16), (32, 16), (32, 32)]
-    };
-    let shed = lanes(&(0..pairs.len()).collect::<Vec<_>>(), |nth| {
-        heard_of(pairs[nth].0, pairs[nth].1, seed, seconds)
-    })?;
-    let deaths = lanes(if long { &[16, 64, 128, 256, 460] } else { &[16, 64, 128] }, |n| death(n, seed))?;
-    let lists =
-        [94, 235, 470, MEMBERS].into_iter().map(|n| listed(n, seed)).collect::<io::Result<Vec<_>>>()?;
-    let calls = datagrams()?;
+    let Others { by_routers, quiet, pairs, shed, deaths, lists } = others;
     let slope = |name, x, y, points: Vec<(f64, f64)>| Slope { name, x, y, points };
     type Of<T> = fn(&T) -> f64;
     let of = |from: &[(usize, Rates)], value: Of<Rates>| -> Vec<(f64, f64)> {
@@ -136,8 +125,8 @@
     Ok(vec![
         slope("words_datagrams", "groups", "datagrams a router a second", of(&by_groups, |r| r.words)),
         slope("words_bytes", "groups", "bytes a router a second", of(&by_groups, |r| r.words_bytes)),
-        slope("words_by_routers", "log2 of routers", "datagrams a router a second for each of 16 groups", {
-            by_routers.iter().map(|(n, r)| ((*n as f64).log2(), r.words / 16.0)).collect()
+        slope("words_by_routers", "1/routers", "datagrams a router a second for each of 16 groups", {
+            by_routers.iter().map(|(n, r)| (1.0 / *n as f64, r.words / 16.0)).collect()
         }),
         slope("probes_by_routers", "1/routers", "probes a member a second, of all routers", {
             by_routers.iter().map(|(n, r)| (1.0 / *n as f64, r.probes)).collect()
@@ -145,17 +134,7 @@
         slope("word_cpu", "groups", "us of CPU a word heard", {
             by_groups.iter().map(|(x, r)| (*x as f64, each(r.of_words, r.heard - r.membership))).collect()
         }),
-        slope(
-            "control_cpu",
-            "groups",
-            "% of a core: words, membership, turns without data, datagrams' calls",
-            {
-                let kernel = Slope { name: "", x: "", y: "", points: calls.clone() }.fit().slope / 1e6;
-                let all =
-                    |r: &Rates| r.of_words + r.of_membership + r.of_turns + (r.words + r.membership) * kernel;
-                by_groups.iter().map(|(x, r)| (*x as f64, all(r) * 100.0)).collect()
-            },
-        ),
+        slope("quiet_turns", "groups", "turns without data a second", of(&by_groups, |r| r.quiet_turns)),
         slope("turn_cpu", "groups", "us of CPU a turn without data", {
             by_groups.iter().map(|(x, r)| (*x as f64, each(r.of_turns, r.quiet_turns))).collect()
         }),
@@ -190,6 +169,38 @@
     ])
 }
 
+/// What is measured beside the slopes by groups.
+struct Others {
+    by_routers: Vec<(usize, Rates)>,
+    quiet: Vec<(usize, Rates)>,
+    /// Routers and groups, and what was heard of admission there.
+    pairs: &'static [(usize, usize)],
+    shed: Vec<(usize, Heard)>,
+    deaths: Vec<(usize, f64)>,
+    lists: Vec<(f64, f64, f64)>,
+}
+
+fn others(seed: u64, long: bool, seconds: f64) -> io::Result<Others> {
+    let watched = |shape: Shape| Shape { observed: 4, ..shape };
+    let by_routers = lanes(&[16, 32, 64, 128], |routers| rates(&sized(routers, 16, seed), seconds))?;
+    let quiet = lanes(&[128, 256, ROUTERS], |routers| {
+        // All at once they take longer to find each other.
+        settled(&watched(Shape { rate: 0.0, seed, ..Shape::of(routers, 1) }), SETTLES * 2.5, seconds / 2.0)
+    })?;
+    let pairs: &'static [(usize, usize)] = if long {
+        &[(16, 16), (32, 16), (32, 32), (64, 32), (64, 64)]
+    } else {
+        &[(16, 16), (32, 16), (32, 32)]
+    };
+    let shed = lanes(&(0..pairs.len()).collect::<Vec<_>>(), |nth| {
+        heard_of(pairs[nth].0, pairs[nth].1, seed, seconds)
+    })?;
+    let deaths = lanes(if long { &[16, 64, 128, 256, 460] } else { &[16, 64, 128] }, |n| death(n, seed))?;
+    let lists =
+        [94, 235, 470, MEMBERS].into_iter().map(|n| listed(n, seed)).collect::<io::Result<Vec<_>>>()?;
+    Ok(Others { by_routers, quiet, pairs, shed, deaths, lists })
+}
+
 /// Members, bytes of a whole list, and what reading it costs a router that has just started, in ms.
 fn listed(members: usize, seed: u64) -> io::Result<(f64, f64, f64)> {
     let shape = Shape { rate: 0.0, members, peers: false, observed: 8, seed, ..Shape::of(8, members / 3) };
@@ -200,15 +211,16 @@
     Ok((members as f64, bytes / lists, world.cost.nanos[About::List as usize] as f64 / 1e6 / lists))
 }
 
-/// KiB of this process that a router which knows so many others takes; all worlds stand until the last is measured.
-fn memory(seed: u64) -> io::Result<Vec<(f64, f64)>> {
+/// KiB of this process that a router which knows so many others takes; all worlds stand until the last is measured,
+/// and nothing else may grow meanwhile.
+pub fn memory(seed: u64) -> io::Result<Vec<(f64, f64)>> {
     let mut worlds = Vec::new();
     let mut points = Vec::new();
     // The first warms up what the process itself needs.
     for routers in [64, 128, 256, ROUTERS] {
         let before = resident()?;
         let mut world = World::start(Shape { rate: 0.0, seed, ..Shape::of(routers, 1) })?;
-        world.run(Span::from_millis(5000))?;
+        world.run(Span::from_millis(4000))?;
         points.push((routers as f64, (resident()? - before) / routers as f64));
         worlds.push(world);
     }
@@ -249,7 +261,7 @@
     Ok(points)
 }
 
-/// Side by side, three at a time: figures are of simulated time, or of the thread's own processor time.
+/// Side by side, two at a time: figures are of simulated time, or of the thread's own processor time.
 fn lanes<T: Send>(
     xs: &[usize],
     measure: impl Fn(usize) -> io::Result<T> + Sync,
@@ -265,7 +277,7 @@
     };
     let mut all = Vec::new();
     std::thread::scope(|scope| {
-        let handles: Vec<_> = (0..3).map(|_| scope.spawn(lane)).collect();
+        let handles: Vec<_> = (0..2).map(|_| scope.spawn(lane)).collect();
         for handle in handles {
             all.extend(handle.join().unwrap_or_else(|_| Err(io::Error::other("a lane failed")))?);
         }
@@ -329,17 +341,23 @@
     let slope =
         |name: &str| slopes.iter().find(|slope| slope.name == name).map_or(f64::NAN, |s| s.fit().slope);
     let all_words = (routers - 1.0) * groups;
-    let words = at("words_datagrams", groups);
-    let bytes = at("words_bytes", groups);
     let membership = at("membership_datagrams", routers);
-    // On the wire each datagram has 28 bytes of IP and UDP before it.
-    let wire = bytes + at("membership_bytes", routers) + 28.0 * (words + membership);
+    let (few, bytes) = (at("words_datagrams", groups), at("words_bytes", groups));
+    let words = at("words_by_routers", 1.0 / routers) * groups;
+    // Of a word as it was at few routers; on the wire each datagram has 28 bytes of IP and UDP before it.
+    let wire = words * (bytes / few + 28.0) + at("membership_bytes", routers) + 28.0 * membership;
+    let kernel = slope("datagram_cpu");
+    // A word that comes has a turn of its own.
+    let turns = at("quiet_turns", groups) + words - few;
+    let core = words * (at("word_cpu", groups) + kernel)
+        + membership * (at("membership_cpu", routers) + kernel)
+        + turns * at("turn_cpu", groups);
     vec![
-        ("words_datagrams", words),
-        ("words_bytes", bytes),
-        ("words_by_routers", at("words_by_routers", routers.log2()) * groups),
-        ("control_wire_bytes", wire),
-        ("control_cpu", at("control_cpu", groups)),
+        ("words_of_16", few),
+        ("words_of_16_bytes", bytes),
+        ("words", words),
+        ("control_bytes", wire),
+        ("control_cpu", core / 1e4),
         ("probes_of_a_member", at("probes_by_routers", 1.0 / routers)),
         ("word_cpu", at("word_cpu", groups)),
         ("turn_cpu", at("turn_cpu", groups)),
--- a/crates/ladderpass-lab/src/capacity/mod.rs
+++ b/crates/ladderpass-lab/src/capacity/mod.rs
@@ -5,5 +5,6 @@
 
 pub mod control;
 pub mod data_path;
+pub mod events;
 pub mod hollow;
 pub mod slope;
--- a/crates/ladderpass-lab/src/main.rs
+++ b/crates/ladderpass-lab/src/main.rs
@@ -85,7 +85,7 @@
     },
     /// An issue's proof: prints one table and ends non-zero where something falls short
     Prove {
-        /// Which: overload, faults, membership, fleet-overload, fleet-budgets
+        /// Which: overload, faults, membership, fleet-overload, fleet-budgets, capacity
         name: String,
         #[arg(long, default_value_t = 1)]
         seed: u64,
@@ -135,6 +135,15 @@
         #[arg(long, default_value = "target/chaos")]
         out: PathBuf,
     },
+    /// The longer runs behind docs/CAPACITY.md: minutes; tables and charts
+    Capacity {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value = "target/release/ladderpass")]
+        router: PathBuf,
+        #[arg(long, default_value = "docs/experiments/capacity")]
+        out: PathBuf,
+    },
     /// One world of hollow routers: what a router of it says and does a second
     Hollow {
         #[arg(long, default_value_t = 16)]
@@ -211,13 +220,14 @@
                 "overload" => {
                     prove::overload::prove(&router, earlier.as_deref(), seed, &out.join("overload"))
                 }
+                "capacity" => prove::capacity::prove(&router, seed),
                 "faults" => prove::faults::prove(&router, faulty.as_deref(), seed),
                 "fleet-overload" => prove::fleet_overload::prove(programs, seed, &out.join("fleet-overload")),
                 "fleet-budgets" => prove::fleet_budgets::prove(programs, seed, &out.join("fleet-budgets")),
                 "membership" => prove::membership::prove(programs, seed, &out.join("membership")),
                 other => {
                     return Err(format!(
-                        "there is no proof {other:?}; there are overload, faults, membership, fleet-overload and fleet-budgets"
+                        "there is no proof {other:?}; there are overload, faults, membership, fleet-overload, fleet-budgets and capacity"
                     ));
                 }
             };
@@ -272,9 +282,14 @@
             }
             if found.broken.is_empty() { Ok(()) } else { Err("rules were broken".into()) }
         }
+        Command::Capacity { seed, router, out } => {
+            let programs = drill::play::Programs { router: &router, faulty: None, earlier: None };
+            prove::capacity::long(programs, seed, &out).map_err(|fault| fault.to_string())
+        }
         Command::Hollow { slopes: true, seed, long, .. } => {
-            let slopes =
-                control::measure(seed, &control::Settings { long }).map_err(|fault| fault.to_string())?;
+            let slopes = control::memory(seed)
+                .and_then(|memory| control::measure(seed, &control::Settings { long }, memory))
+                .map_err(|fault| fault.to_string())?;
             for slope in &slopes {
                 println!(
                     "{} ({} by {}): {:?}\n  {:?}",
--- a/crates/ladderpass-lab/src/prove/mod.rs
+++ b/crates/ladderpass-lab/src/prove/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! It owns what a proof asks. It must never loosen a figure to a seed, nor hold one that the run can measure.
 
+pub mod capacity;
 pub mod faults;
 pub mod fleet_budgets;
 pub mod fleet_overload;
--- a/crates/ladderpass-lab/tests/hollow.rs
+++ b/crates/ladderpass-lab/tests/hollow.rs
@@ -3,6 +3,7 @@
 
 use ladderpass_core::Span;
 use ladderpass_lab::capacity::hollow::{Shape, World, member_id};
+use ladderpass_lab::capacity::slope::Claim;
 
 fn world(shape: Shape) -> World {
     World::start(shape).expect("the temporary folder can be written to")
@@ -79,3 +80,18 @@
     run(&mut world, 5000);
     assert_eq!((leads(&world, 0), leads(&world, 2)), (0, 4));
 }
+
+#[test]
+fn each_figure_of_the_page_can_be_read_and_states_an_error() {
+    let page = std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/CAPACITY.md"))
+        .expect("the page is there");
+    let rows = page.lines().filter_map(|line| line.strip_prefix("| `")?.split_once("` |"));
+    let names: Vec<&'static str> =
+        rows.map(|(name, _)| &*Box::leak(name.to_owned().into_boxed_str())).collect();
+    assert!(names.len() > 30, "{} figures", names.len());
+    for name in names {
+        let claim =
+            Claim::read(&page, name).unwrap_or_else(|| panic!("{name} is not to be read, or stands twice"));
+        assert!(claim.value > 0.0 && (0.005..0.8).contains(&claim.within), "{claim:?}");
+    }
+}
