Reads spill where their replicas are full and turn probes away too

Seen in a capacity trial (40 groups, members that hold 300 connections): 1,056 of 1,056 reads of groups whose replicas were full were refused and none went to an idle primary, while all 272 writes were served. Cause: a probe that is turned away tells no news, so place() took each replica in turn for the next pick worth waiting for, and waits before it spills (decide.rs, told_soon). A replica whose last probe told nothing is not waited for until it may be probed again (PROBE_AGAIN). Ruled out: rooms and limits (the primary had both). Test: a_read_spills_when_its_replicas_turn_probes_away, fails on the program before.

--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -294,7 +294,7 @@
     fn told_soon(&self, index: usize) -> Time {
         let part = || 1.0 + TELL_SPREAD * self.turn(index) / f64::from(self.deployment.routers.max(1));
         let wait = if self.deployment.peers { TELL_LEADERLESS * part() } else { Span::ZERO };
-        self.fleet.member(index).told_at + wait
+        (self.fleet.member(index).told_at + wait).max(self.fleet.member(index).mute_until(PROBE_AGAIN))
     }
 
     /// The turn of this router to ask a member: another order for each news of it.
--- a/crates/ladderpass-core/src/state.rs
+++ b/crates/ladderpass-core/src/state.rs
@@ -313,6 +313,13 @@
         (self.probe_sent, self.probed_at, self.probe_at) = (Some(now), now, now + every);
     }
 
+    /// Until when there is no news of it, as its last probe was answered without any. Guards reads against
+    /// replicas that are full and turn probes away as well: they asked one after the other until their time was
+    /// over, and never spilt to the primary.
+    pub fn mute_until(&self, again: Span) -> Time {
+        if self.probed_at > self.told_at { self.probed_at + again } else { Time::NEVER }
+    }
+
     /// A number that all routers that heard its last news agree on.
     pub fn order(&self) -> u64 {
         (self.shared.nanos() / 1_000_000) as u64 ^ u64::from(self.mark) << 20
--- a/crates/ladderpass-core/tests/exceptions.rs
+++ b/crates/ladderpass-core/tests/exceptions.rs
@@ -319,6 +319,28 @@
     assert_eq!(decisions, [(rpc, Decision::CallOut { member: asked[0], limit: None })]);
 }
 
+/// All replicas are full, and turn probes away too: no news, so a read asked one after the other until its time was over,
+/// before a primary with nothing to do.
+#[test]
+fn a_read_spills_when_its_replicas_turn_probes_away() {
+    let mut router = group_of(3, |_| {});
+    router.tend(at(4999));
+    probe(&mut router, 4999, 0, 4999, true);
+    let (rpc, decision) = router.take(at(5000), arrival(0, 5000));
+    assert_eq!(decision, Decision::Hold);
+    for ms in 5000..5100 {
+        let upkeep = router.tend(at(ms));
+        if let Some(&(of, decision)) = upkeep.decisions.first() {
+            assert_eq!((of, sent_to(decision)), (rpc, Some(0)), "at {ms}");
+            return;
+        }
+        for id in upkeep.probes {
+            router.probed(at(ms + 1), id, Ended::Overloaded, Span::from_millis(1), Report::default());
+        }
+    }
+    panic!("it waits for replicas that have nothing to say");
+}
+
 #[test]
 fn probes_follow_what_a_router_sends() {
     let probes = |every: i64| {
