Fault tool: what comes while something late falls due stays behind it

Seen: recordings.rs, late_statements_are_recorded_to_the_end, failed once in three runs of the whole workspace, at a load of 40 on 8 cores: connection reset by peer. Cause: driver.rs, `take` acts at once on what is due, while something of the same direction that stands before it may wait in `late` and have fallen due since the engine was asked (the process slept, or read on for longer than the delay). The order of bytes was broken, or a side ended before its last bytes; the engine's times were right.

Change: `take` first acts on what is late and due, as the loop does.

--- a/crates/ladderpass-faults/src/driver.rs
+++ b/crates/ladderpass-faults/src/driver.rs
@@ -230,15 +230,7 @@
                 }
             }
             let now = self.now();
-            while let Some(entry) = self.late.first_entry()
-                && entry.key().0 <= now
-            {
-                let one = entry.remove();
-                if let (What::Send(side, bytes), Some(pair)) = (&one.what, self.pairs.get_mut(&one.conn)) {
-                    pair.late[*side as usize] -= bytes.len();
-                }
-                self.act(one);
-            }
+            self.act_on_late(now);
             self.answer_those_that_wait(now);
         }
         Ok(())
@@ -284,9 +276,24 @@
         Ok(())
     }
 
+    /// What waited and whose time has come, in its order.
+    fn act_on_late(&mut self, now: Time) {
+        while let Some(entry) = self.late.first_entry()
+            && entry.key().0 <= now
+        {
+            let one = entry.remove();
+            if let (What::Send(side, bytes), Some(pair)) = (&one.what, self.pairs.get_mut(&one.conn)) {
+                pair.late[*side as usize] -= bytes.len();
+            }
+            self.act(one);
+        }
+    }
+
     /// Those whose time has come are done, the others wait.
     fn take(&mut self, todo: Vec<Do>) {
         let now = self.now();
+        // Guards the order of a direction: something late that stands before these may have come due meanwhile.
+        self.act_on_late(now);
         for one in todo {
             // What stands behind something late waits too, which its time tells already.
             if one.at <= now {
--- a/crates/ladderpass-faults/tests/driver.rs
+++ b/crates/ladderpass-faults/tests/driver.rs
@@ -30,3 +30,25 @@
     stream.read_to_end(&mut answer).expect("to its end");
     assert_eq!((answer.len(), answers.join().expect("it answers")), (100, b"asked".to_vec()));
 }
+
+/// Late by less than the tool needs to read on: what comes behind it, on time, still goes behind it.
+#[test]
+fn what_is_late_by_a_hair_keeps_its_place() {
+    let server = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let links = format!(
+        "links: [{{name: a, listen: '127.0.0.1:0', to: '{}', talk: raw}}]\n",
+        server.local_addr().expect("bound")
+    );
+    let rules = "rules: [{name: d, when: {byte: 0}, do: {delay: {ms: 0.005}}, times: 0}]\n";
+    let tool = Running::start(Plan::read(&(links + rules)).expect("allowed"), None).expect("it starts");
+    let sent: Vec<u8> = (0..60_000u32).flat_map(u32::to_be_bytes).collect();
+    for nth in 0..50 {
+        let mut stream = TcpStream::connect(tool.addresses[0]).expect("it listens");
+        let (mut answers, _) = server.accept().expect("it comes");
+        answers.write_all(&sent).expect("it takes it");
+        drop(answers);
+        let mut got = Vec::new();
+        stream.read_to_end(&mut got).expect("to its end");
+        assert!(got == sent, "play {nth}: {} of {} bytes, or in another order", got.len(), sent.len());
+    }
+}
