--- a/crates/ladderpass/tests/endings.rs
+++ b/crates/ladderpass/tests/endings.rs
@@ -365,6 +365,27 @@
     bed.passes("2");
 }
 
+/// The new address answers with a head and empty lines, and no list: that is no answer, and the call is made again in
+/// time. Once it never was.
+#[test]
+fn a_new_address_that_has_no_list_to_tell_is_asked_again() {
+    let bed = bed(|told| told);
+    let empty = listener();
+    let to = empty.local_addr().expect("an address").to_string();
+    let good = std::fs::read_to_string(&bed.told).expect("its file");
+    let told = format!("\"discovery\":\"{to}\",\"seed\":\"8c");
+    std::fs::write(&bed.told, good.replace("\"seed\":\"8c", &told)).expect("written");
+    bed.signal(Signal::SIGHUP);
+    let mut first = accept(&empty);
+    read_call(&first);
+    first.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").expect("it reads");
+    let since = Instant::now();
+    while accept_within(&empty, Duration::from_millis(300)).is_none() {
+        assert!(since.elapsed() < Duration::from_secs(6), "asked again");
+        let _ = first.write_all(b"1\r\n\n\r\n");
+    }
+}
+
 /// Discovery counts anew from lower: late lists are refused, but not for longer than news may be late, from when the list
 /// here was told.
 #[test]
