--- a/crates/ladderpass-lab/src/capacity/control.rs
+++ b/crates/ladderpass-lab/src/capacity/control.rs
@@ -1,5 +1,5 @@
-//! Slopes of a router's control: what it says to other routers, probes, lists, and the processor time and memory of
-//! these, measured with hollow routers.
+//! Slopes of a router's control: what it says to other routers, probes, lists, and the processor time and
+//! memory of these, measured with hollow routers.
 //!
 //! It owns how they are measured. It must never be needed by a router that serves.
 
@@ -211,8 +211,8 @@
     Ok((members as f64, bytes / lists, world.cost.nanos[About::List as usize] as f64 / 1e6 / lists))
 }
 
-/// KiB of this process that a router which knows so many others takes; all worlds stand until the last is measured,
-/// and nothing else may grow meanwhile.
+/// KiB of this process that a router which knows so many others takes; all worlds stand until the last is
+/// measured, and nothing else may grow meanwhile.
 pub fn memory(seed: u64) -> io::Result<Vec<(f64, f64)>> {
     let mut worlds = Vec::new();
     let mut points = Vec::new();
@@ -235,7 +235,8 @@
     pages.map(|pages| pages * 4.0).ok_or_else(|| io::Error::other("statm can't be read"))
 }
 
-/// Datagrams of a word's length over loopback, each sent and received with a call of its own, as the program does.
+/// Datagrams of a word's length over loopback, each sent and received with a call of its own, as the program
+/// does.
 fn datagrams() -> io::Result<Vec<(f64, f64)>> {
     let (one, other) = (UdpSocket::bind("127.0.0.1:0")?, UdpSocket::bind("127.0.0.1:0")?);
     let to = other.local_addr()?;
@@ -307,7 +308,8 @@
     Ok(Heard { bytes: rates_of(&world, seconds).membership_bytes, words: words as f64 / routers as f64 })
 }
 
-/// Seconds from a router's death until all others have it out of their view; of a few deaths, one after the other.
+/// Seconds from a router's death until all others have it out of their view; of a few deaths, one after the
+/// other.
 pub fn death(routers: usize, seed: u64) -> io::Result<f64> {
     let mut world = World::start(Shape { rate: 0.0, seed, ..Shape::of(routers, 1) })?;
     world.run(SETTLES)?;
--- a/crates/ladderpass-lab/src/capacity/hollow.rs
+++ b/crates/ladderpass-lab/src/capacity/hollow.rs
@@ -1,8 +1,9 @@
-//! Hollow routers: many real reducers in one world with a clock of its own, before hollow members and a hollow
-//! discovery. What they say to each other is the program's own: only sockets, clients and members are stood in for.
+//! Hollow routers: many real reducers in one world with a clock of its own, before hollow members and a
+//! hollow discovery. What they say to each other is the program's own: only sockets, clients and members are
+//! stood in for.
 //!
-//! It owns the world: who reaches whom, when bytes arrive, and counts of all that was sent. It must never look into
-//! what routers believe but by what they tell, and never decide in their place.
+//! It owns the world: who reaches whom, when bytes arrive, and counts of all that was sent. It must never
+//! look into what routers believe but by what they tell, and never decide in their place.
 
 use ladderpass::launch::Launch;
 use ladderpass::reducer::{ConnId, Effect, Event, Reducer};
@@ -871,8 +872,9 @@
 fn entry(shape: &Shape, member: usize, primary: bool, lifecycle: &str) -> String {
     let zone = (shape.group_of(member) + 3 * (member / shape.groups)) % ZONES;
     serde_json::json!({
-        "instanceId": member_id(member), "hostPort": member_address(member).to_string(), "zone": format!("z{zone}"),
-        "machineType": "k", "cell": shape.group_of(member), "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0,
+        "instanceId": member_id(member), "hostPort": member_address(member).to_string(),
+        "zone": format!("z{zone}"), "machineType": "k", "cell": shape.group_of(member),
+        "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0,
         "role": if primary { "leader" } else { "follower" },
     })
     .to_string()
--- a/crates/ladderpass-lab/src/prove/capacity.rs
+++ b/crates/ladderpass-lab/src/prove/capacity.rs
@@ -1,5 +1,6 @@
-//! The proof of docs/CAPACITY.md: each of its figures is measured anew by its slope, with any seed, and must lie within
-//! the error that the page states. The longer runs: slopes, events, hollow routers beside real ones, as tables and charts.
+//! The proof of docs/CAPACITY.md: each of its figures is measured anew by its slope, with any seed, and must
+//! lie within the error that the page states. The longer runs: slopes, events, hollow routers beside real
+//! ones, as tables and charts.
 //!
 //! It owns what is compared. It must never hold a figure of the page: they are read out of it.
 
@@ -111,7 +112,9 @@
     };
     let control = control::measure(seed, &control::Settings { long: true }, control::memory(seed)?)?;
     let mut part = String::from(
-        "\n## Slopes of control\n\n| slope | y | x | points | each | base | error of the fit |\n|---|---|---|---|---|---|---|\n",
+        "\n## Slopes of control\n\n\
+         | slope | y | x | points | each | base | error of the fit |\n\
+         |---|---|---|---|---|---|---|\n",
     );
     for slope in &control {
         let points: Vec<String> = slope.points.iter().map(|(x, y)| format!("{x:.5}: {y:.3}")).collect();
@@ -143,7 +146,9 @@
     }
     write(part)?;
     let mut part = String::from(
-        "\n## Hollow routers beside processes\n\n| routers | groups | processes, datagrams/s a router, bytes/s | hollow | off |\n|---|---|---|---|---|\n",
+        "\n## Hollow routers beside processes\n\n\
+         | routers | groups | processes, datagrams/s a router, bytes/s | hollow | off |\n\
+         |---|---|---|---|---|\n",
     );
     for (routers, groups) in [(16, 2), (16, 8), (16, 32)] {
         let (real, hollow) = beside(programs, routers, groups, seed)?;
@@ -156,7 +161,9 @@
     }
     write(part)?;
     let mut part = String::from(
-        "\n## Events, 460 routers and 8 groups, times in s since each began\n\n| event | moments | before, datagrams/s a router, bytes/s | at the most | refused | discovery, MB |\n|---|---|---|---|---|---|\n",
+        "\n## Events, 460 routers and 8 groups, times in s since each began\n\n\
+         | event | moments | before, datagrams/s a router, bytes/s | at the most | refused | \
+         discovery, MB |\n|---|---|---|---|---|---|\n",
     );
     let next = std::sync::atomic::AtomicUsize::new(0);
     let lane = || -> io::Result<Vec<events::Told>> {
--- a/crates/ladderpass-lab/tests/hollow.rs
+++ b/crates/ladderpass-lab/tests/hollow.rs
@@ -1,5 +1,5 @@
-//! Hollow worlds: what is sent is received or counted lost; the same seed gives the same world; routers find each other,
-//! learn of a death, of a change of the list and of another primary.
+//! Hollow worlds: what is sent is received or counted lost; the same seed gives the same world; routers find
+//! each other, learn of a death, of a change of the list and of another primary.
 
 use ladderpass_core::Span;
 use ladderpass_lab::capacity::hollow::{Shape, World, member_id};
