--- /dev/null
+++ b/crates/ladderpass/tests/ready.rs
@@ -0,0 +1,244 @@
+//! Real processes that start at once with 940 members remembered, a third of which hang, discovery down or silent:
+//! how long until each lets a client in and serves it, and what its start takes. `LADDERPASS_READY=300,64,FILE` plays
+//! it with so many processes of so many descriptors each, of that program; a dozen of this one else.
+
+mod common;
+
+use common::*;
+use nix::sys::epoll::{Epoll, EpollCreateFlags, EpollEvent, EpollFlags, EpollTimeout};
+use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const MEMBERS: usize = 940;
+const READY: Duration = Duration::from_secs(10);
+/// Threads of members; each holds one address of leaders, one of followers, and two of those that hang.
+const THREADS: usize = 6;
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    Leader,
+    Follower,
+    /// Takes connections and says nothing.
+    Silent,
+    /// Takes none: they wait in the kernel, and hang once its line is full.
+    Deaf,
+}
+
+/// The members' stand-ins, many at one address; for each member the address to tell, and what they were asked.
+struct Members {
+    addresses: Vec<String>,
+    probes: Arc<AtomicUsize>,
+}
+
+fn members() -> Members {
+    let probes = Arc::new(AtomicUsize::new(0));
+    let mut at: [Vec<SocketAddr>; 4] = Default::default();
+    for _ in 0..THREADS {
+        let kinds = [Kind::Leader, Kind::Follower, Kind::Silent, Kind::Deaf];
+        let listeners = kinds.map(|kind| (kind, TcpListener::bind(own_address()).expect("a port")));
+        for (kind, listener) in &listeners {
+            at[*kind as usize].push(listener.local_addr().expect("an address"));
+        }
+        let probes = probes.clone();
+        // It ends with the test's process.
+        thread::spawn(move || serve(&listeners, &probes).expect("it can"));
+    }
+    // Of each group the leader and one follower are well; all second followers hang.
+    let kind = |n: usize| match n % 6 {
+        0 | 3 => Kind::Leader,
+        1 | 4 => Kind::Follower,
+        2 => Kind::Silent,
+        _ => Kind::Deaf,
+    };
+    let addresses = (0..MEMBERS).map(|n| at[kind(n) as usize][n / 6 % THREADS].to_string()).collect();
+    Members { addresses, probes }
+}
+
+fn serve(listeners: &[(Kind, TcpListener); 4], probes: &AtomicUsize) -> std::io::Result<()> {
+    let set = Epoll::new(EpollCreateFlags::empty())?;
+    for (nth, (kind, listener)) in listeners.iter().enumerate().filter(|(_, (kind, _))| *kind != Kind::Deaf) {
+        listener.set_nonblocking(true)?;
+        set.add(listener, EpollEvent::new(EpollFlags::EPOLLIN, nth as u64))?;
+        assert!(*kind != Kind::Deaf);
+    }
+    let mut links: HashMap<u64, (Kind, TcpStream, Vec<u8>)> = HashMap::new();
+    let mut last = listeners.len() as u64;
+    let mut events = [EpollEvent::empty(); 256];
+    loop {
+        let count = set.wait(&mut events, EpollTimeout::NONE).unwrap_or(0);
+        for event in &events[..count] {
+            let id = event.data();
+            if let Some((kind, listener)) = listeners.get(id as usize) {
+                while let Ok((stream, _)) = listener.accept() {
+                    stream.set_nonblocking(true)?;
+                    stream.set_nodelay(true)?;
+                    last += 1;
+                    set.add(&stream, EpollEvent::new(EpollFlags::EPOLLIN, last))?;
+                    links.insert(last, (*kind, stream, Vec::new()));
+                }
+            } else if let Some((kind, stream, heard)) = links.get_mut(&id)
+                && !converse(*kind, stream, heard, probes)
+            {
+                links.remove(&id);
+            }
+        }
+    }
+}
+
+/// Answers what has come; false once the connection has ended.
+fn converse(kind: Kind, stream: &mut TcpStream, heard: &mut Vec<u8>, probes: &AtomicUsize) -> bool {
+    let mut room = [0; 4096];
+    match stream.read(&mut room) {
+        Ok(0) => return false,
+        Ok(count) => heard.extend_from_slice(&room[..count]),
+        Err(fault) => return fault.kind() == std::io::ErrorKind::WouldBlock,
+    }
+    let mut out = Vec::new();
+    // The opening has no kind, and is shorter than 16 MB.
+    if heard.first() == Some(&0) {
+        let length =
+            heard.get(..4).map_or(4, |head| u32::from_be_bytes([head[0], head[1], head[2], head[3]]));
+        if heard.len() < length as usize {
+            return true;
+        }
+        heard.drain(..length as usize);
+        out.extend(welcome());
+    }
+    let (found, used) = frames(heard);
+    heard.drain(..used);
+    let role = if kind == Kind::Leader { "leader" } else { "follower" };
+    for (_, body) in found {
+        let text = String::from_utf8_lossy(&body[..body.len() - 1]);
+        out.extend(match &*text {
+            "" => nothing(),
+            "SHOW server_load" => {
+                probes.fetch_add(1, Ordering::Relaxed);
+                let report = format!("x0={:.3},x1={}", now_ms() as f64 / 1e3, u8::from(kind == Kind::Leader));
+                row(report.as_bytes(), role, now_ms())
+            }
+            _ => row(b"v", role, now_ms()),
+        });
+    }
+    kind == Kind::Silent || stream.write_all(&out).is_ok()
+}
+
+/// One process, from its start to its first client served.
+struct Start {
+    process: Child,
+    told: PathBuf,
+    welcomed: Duration,
+    served: Duration,
+    /// Its processor time by then, and the most memory that it had, in MB.
+    cpu: Duration,
+    resident: f64,
+}
+
+impl Drop for Start {
+    fn drop(&mut self) {
+        let _ = (self.process.kill(), self.process.wait(), std::fs::remove_file(&self.told));
+    }
+}
+
+fn start(nth: usize, binary: &Path, told: &str, discovery: &str, address: String) -> Start {
+    let told = file(&told.replace("8c1f30d27a5be964", &format!("8c1f30d27a5b{nth:04x}")));
+    let mut command = Command::new(binary);
+    command.env("RELAY_NAME", format!("n{nth}")).env("RELAY_LISTEN", &address).env("RUST_LOG", "error");
+    command.env("RELAY_DISCOVERY", discovery).env("RELAY_CONFIG", &told).stdin(Stdio::null());
+    let begun = Instant::now();
+    let process = command.spawn().expect("it starts");
+    let never = Duration::MAX;
+    let mut start =
+        Start { process, told, welcomed: never, served: never, cpu: Duration::ZERO, resident: 0.0 };
+    for again in 0.. {
+        if begun.elapsed() > READY * 2 {
+            break;
+        }
+        let group = 1 + (nth * 7 + again) % (MEMBERS / 3);
+        let read = statement(&format!("{nth}x{again}"), "read", 4000, &group.to_string());
+        if let Ok(mut stream) = TcpStream::connect(&address) {
+            stream.set_read_timeout(Some(Duration::from_secs(5))).expect("it can");
+            let _ = stream.write_all(&[startup(), query(&read)].concat());
+            let mut ready = 0;
+            while let Some((kind, _)) = next_frame(&mut stream) {
+                ready += u32::from(kind == b'Z');
+                match (kind, ready) {
+                    (b'Z', 1) => start.welcomed = start.welcomed.min(begun.elapsed()),
+                    (b'D', _) => start.served = start.served.min(begun.elapsed()),
+                    _ => {}
+                }
+                if ready > 1 {
+                    break;
+                }
+            }
+        }
+        if start.served < never {
+            break;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    let of = |what: &str| std::fs::read_to_string(format!("/proc/{}/{what}", start.process.id()));
+    let first = |text: &str| text.split_whitespace().next().and_then(|word| word.parse::<f64>().ok());
+    let (cpu, status) = (of("schedstat").unwrap_or_default(), of("status").unwrap_or_default());
+    start.cpu = Duration::from_secs_f64(first(&cpu).unwrap_or(0.0) / 1e9);
+    let most = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap_or_default();
+    start.resident = first(most).unwrap_or(0.0) / 1024.0;
+    start
+}
+
+/// The median, the ninth tenth and the most.
+fn spread(mut of: Vec<f64>) -> String {
+    of.sort_by(f64::total_cmp);
+    let at = |part: f64| of[((of.len() - 1) as f64 * part) as usize];
+    format!("{:.1} (median), {:.1} (nine in ten), {:.1} (most)", at(0.5), at(0.9), at(1.0))
+}
+
+#[test]
+fn nine_in_ten_that_start_at_once_are_ready_in_time() {
+    let asked = std::env::var("LADDERPASS_READY").unwrap_or_default();
+    let mut asked = asked.splitn(3, ',');
+    let mut number = |or: usize| asked.next().and_then(|text| text.parse().ok()).unwrap_or(or);
+    let (count, sockets) = (number(12), number(96));
+    let binary: PathBuf = asked.next().unwrap_or(env!("CARGO_BIN_EXE_ladderpass")).into();
+    let members = members();
+    let told = Arc::new(told_in_groups(&members.addresses, sockets));
+    let silent = TcpListener::bind(own_address()).expect("a port");
+    let silent = (silent.local_addr().expect("an address").to_string(), Some(silent));
+    let down = TcpListener::bind(own_address()).and_then(|l| l.local_addr()).expect("a port").to_string();
+    // Some of one address, which nobody else uses: all are held until each has its own.
+    let first = TcpListener::bind(own_address()).expect("a port");
+    let ip = first.local_addr().expect("an address").ip();
+    let held: Vec<_> = (0..count).map(|_| TcpListener::bind((ip, 0)).expect("a port")).collect();
+    let ports: Vec<String> =
+        held.iter().map(|port| port.local_addr().expect("an address").to_string()).collect();
+    drop(held);
+    for (what, (discovery, _)) in [("down", &(down, None)), ("silent", &silent)] {
+        let before = members.probes.load(Ordering::Relaxed);
+        let starts: Vec<_> = (0..count)
+            .map(|nth| {
+                let (binary, told, discovery) = (binary.clone(), told.clone(), discovery.clone());
+                let address = ports[nth].clone();
+                thread::spawn(move || start(nth, &binary, &told, &discovery, address))
+            })
+            .collect();
+        thread::sleep(Duration::from_secs(1));
+        let probes = members.probes.load(Ordering::Relaxed) - before;
+        let starts: Vec<Start> =
+            starts.into_iter().map(|start| start.join().expect("it is measured")).collect();
+        let all = |of: fn(&Start) -> f64| spread(starts.iter().map(of).collect());
+        println!("{count} processes of {sockets} descriptors, discovery {what}");
+        println!("  welcomed, ms: {}", all(|start| start.welcomed.as_secs_f64() * 1e3));
+        println!("  served, ms:   {}", all(|start| start.served.as_secs_f64() * 1e3));
+        println!("  CPU, ms:      {}", all(|start| start.cpu.as_secs_f64() * 1e3));
+        println!("  memory, MB:   {}", all(|start| start.resident));
+        println!("  probes in the first second: {probes}");
+        let ready = starts.iter().filter(|start| start.served <= READY).count();
+        assert!(ready * 10 >= count * 9, "{ready} of {count} are ready within {READY:?}, discovery {what}");
+    }
+}
