--- a/crates/ladderpass/src/limits.rs
+++ b/crates/ladderpass/src/limits.rs
@@ -42,8 +42,6 @@
     pub id_rest: Span,
     /// Where a client that rests is to make place it goes a turn later: meanwhile there may be so many more.
     pub leaving: usize,
-    /// Probes may hold this part of the connections that clients leave; call-outs have the rest.
-    pub probing: f64,
     /// What there was no descriptor for, and nothing that could make place, is tried again after this.
     pub denied_rest: Span,
     /// So many connections make place for one that was denied: were it for want of something else, all would
@@ -131,7 +129,6 @@
             ids: 1 << 16,
             id_rest: Span::from_millis(5000),
             leaving: 8,
-            probing: 0.5,
             denied_rest: Span::from_millis(100),
             denials: 8,
             accepts: 64,
--- a/crates/ladderpass/src/reducer.rs
+++ b/crates/ladderpass/src/reducer.rs
@@ -211,13 +211,9 @@
     /// Clients that are to go at the next turn, unless something of theirs is still found at the socket.
     parting: Vec<(ConnId, Option<(Waiting, Time)>)>,
     accepting: bool,
-    /// Connections that were denied, for which a client makes place; the watch, if nothing could; and when
-    /// what could not be had is tried again.
+    /// Connections that were denied, for which a client makes place; the watch, if nothing could.
     denied: Vec<ConnId>,
     denied_watch: Option<ConnId>,
-    short_until: Option<Time>,
-    /// Probes that wait for room.
-    probes: VecDeque<MemberId>,
     /// Memory of all rings.
     rings: usize,
     /// Connections that could not read for want of memory.
@@ -292,8 +288,6 @@
             accepting: true,
             denied: Vec::new(),
             denied_watch: None,
-            short_until: None,
-            probes: VecDeque::new(),
             rings: 0,
             starved: BTreeSet::new(),
             ready: VecDeque::new(),
@@ -414,7 +408,7 @@
         let longest = self.waiting.iter().zip(spans).filter_map(|(set, &span)| Some(set.first()?.0 + span));
         let place = longest.min().filter(|_| self.clients > self.limits.clients_eased);
         let peers = self.peers.as_ref().map(|peers| peers.wake());
-        [first, self.core_wake, deaf_at, parting, place, peers, self.short_until].into_iter().flatten().min()
+        [first, self.core_wake, deaf_at, parting, place, peers].into_iter().flatten().min()
     }
 
     pub fn apply(&mut self, now: Time, event: Event) -> Vec<Effect> {
@@ -456,7 +450,7 @@
         // Guards against statements begun for clients that have left: all that the batch read, ends too, comes first.
         self.look_at_ready(now);
         self.see_off(now);
-        self.connect_again(now);
+        self.connect_again();
         while let Some(&(at, id)) = self.looks.first()
             && at <= now
         {
@@ -478,7 +472,9 @@
         for (rpc, decision) in upkeep.decisions {
             self.carry_out(now, rpc, decision);
         }
-        self.probe_all(now, upkeep.probes);
+        for member in upkeep.probes {
+            self.probe(now, member);
+        }
         if !upkeep.tell.is_empty() {
             self.whisper(now, &upkeep.tell);
         }
@@ -727,12 +723,6 @@
             return self.denied.push(id);
         }
         match self.conns.get(&id).map(|conn| &conn.peer) {
-            Some(Peer::Member(Link { member, job: Some(Job::Probe), .. })) => {
-                let member = MemberId(*member as u32);
-                self.drop_conn(id);
-                self.short_until = Some(now + self.limits.denied_rest);
-                self.probe_waits(member);
-            }
             Some(Peer::Member(_)) => self.link_over(now, id, Ended::Void),
             Some(Peer::Discovery(_)) => {
                 self.denied_watch = Some(id);
@@ -758,8 +748,7 @@
     }
 
     /// What was denied is tried again, now that others have made place.
-    fn connect_again(&mut self, now: Time) {
-        self.short_until = self.short_until.filter(|&at| at > now);
+    fn connect_again(&mut self) {
         for id in std::mem::take(&mut self.denied) {
             let address = match self.conns.get(&id).map(|conn| &conn.peer) {
                 Some(Peer::Member(link)) => self.members.get(link.member).map(|member| member.address),
--- a/crates/ladderpass/src/reducer/members.rs
+++ b/crates/ladderpass/src/reducer/members.rs
@@ -539,34 +539,12 @@
         self.job_ended(now, job, outcome, report);
     }
 
-    /// Probes go as far as there is room; the others wait for it. Guards members against being blamed for
-    /// what this router is short of, and RPCs and clients against hundreds of probes at a start.
-    pub(super) fn probe_all(&mut self, now: Time, due: Vec<MemberId>) {
-        due.into_iter().for_each(|member| self.probe_waits(member));
-        if self.probes.is_empty() || self.short_until.is_some() {
-            return;
-        }
-        let probes = |conn: &&Conn| matches!(&conn.peer, Peer::Member(Link { job: Some(Job::Probe), .. }));
-        let out = self.conns.values().filter(probes).count();
-        let left = self.limits.connections.saturating_sub(self.clients);
-        for _ in out..((left as f64 * self.limits.probing) as usize).max(1) {
-            let Some(member) = self.probes.pop_front() else { return };
-            let index = member.0 as usize;
-            // It may have gone meanwhile; then the core asks no more.
-            if self.members.get(index).is_none_or(|member| member.forgotten) {
-                continue;
-            }
-            match self.reach(now, index, Job::Probe, now + self.limits.probe) {
-                Some(id) if self.is_up(id) => self.send(now, id),
-                Some(_) => {}
-                None => return self.probes.push_front(member),
-            }
-        }
-    }
-
-    pub(super) fn probe_waits(&mut self, member: MemberId) {
-        if !self.probes.contains(&member) {
-            self.probes.push_back(member);
+    pub(super) fn probe(&mut self, now: Time, member: MemberId) {
+        let until = now + self.limits.probe;
+        match self.reach(now, member.0 as usize, Job::Probe, until) {
+            Some(id) if self.is_up(id) => self.send(now, id),
+            Some(_) => {}
+            None => self.router.probed(now, member, Ended::Void, Span::ZERO, Report::default()),
         }
     }
 }
