make prove NAME=fleet-ramp: cold members before 8, 24 and 30 routers

What the model shows is shown by processes: routers that don't talk, N from 2 to 900, bursts, a third of the routers killed and started within the ramp, cold primaries and replicas, several at once; counted by what came to the members, over all windows. Beside it the program before and a build that ignores the ramp. 15 s.

Scenarios say how many routers there are (1 as before). The checker tells how near a window came. The tests of the joint history move from src to tests/, unchanged, with one for the new count.

Rule 1 is asked in the rows where nobody is killed. Elsewhere an RPC met the close of a client at rest (0.4 ms after it was sent, the program before too): unanswered ones are told there, rules 2 to 5 asked.

--- a/crates/ladderpass-lab/src/drill/play.rs
+++ b/crates/ladderpass-lab/src/drill/play.rs
@@ -50,6 +50,8 @@
     pub violations: Vec<Violation>,
     /// By router: violations of rule 4 by what it alone sent.
     pub cold_alone: Vec<usize>,
+    /// The members that started cold.
+    pub started: Vec<Started>,
     /// By router, in order; a router that was started again goes on in its list.
     pub views: Vec<Vec<Viewed>>,
     pub logs: Vec<Vec<String>>,
@@ -525,6 +527,7 @@
             truth,
             violations,
             cold_alone,
+            started,
             views,
             logs,
             addresses,
--- a/crates/ladderpass-lab/src/main.rs
+++ b/crates/ladderpass-lab/src/main.rs
@@ -85,7 +85,7 @@
     },
     /// An issue's proof: prints one table and ends non-zero where something falls short
     Prove {
-        /// Which: overload, faults, membership, fleet-overload, fleet-budgets, capacity
+        /// Which: overload, faults, membership, fleet-overload, fleet-budgets, fleet-ramp, capacity
         name: String,
         #[arg(long, default_value_t = 1)]
         seed: u64,
@@ -224,10 +224,11 @@
                 "faults" => prove::faults::prove(&router, faulty.as_deref(), seed),
                 "fleet-overload" => prove::fleet_overload::prove(programs, seed, &out.join("fleet-overload")),
                 "fleet-budgets" => prove::fleet_budgets::prove(programs, seed, &out.join("fleet-budgets")),
+                "fleet-ramp" => prove::fleet_ramp::prove(programs, seed, &out.join("fleet-ramp")),
                 "membership" => prove::membership::prove(programs, seed, &out.join("membership")),
                 other => {
                     return Err(format!(
-                        "there is no proof {other:?}; there are overload, faults, membership, fleet-overload, fleet-budgets and capacity"
+                        "there is no proof {other:?}; there are overload, faults, membership, fleet-overload, fleet-budgets, fleet-ramp and capacity"
                     ));
                 }
             };
--- a/crates/ladderpass-lab/src/prove/mod.rs
+++ b/crates/ladderpass-lab/src/prove/mod.rs
@@ -6,6 +6,7 @@
 pub mod faults;
 pub mod fleet_budgets;
 pub mod fleet_overload;
+pub mod fleet_ramp;
 pub mod membership;
 pub mod overload;
 
--- a/crates/ladderpass-lab/tests/joint.rs
+++ b/crates/ladderpass-lab/tests/joint.rs
@@ -1,10 +1,10 @@
-//! The judge of a joint history: what breaks a rule is found, and what is excused is not.
+//! The joint history: what becomes of the accounts of clients, the fault tool and members, by small made-up ones.
 
 use ladderpass_core::{Span, Time};
 use ladderpass_faults::engine::Passed;
 use ladderpass_fleet::truth::{Came, Ran};
 use ladderpass_fleet::{Scenario, Truth};
-use ladderpass_lab::joint::{Absence, Drained, History, Started};
+use ladderpass_lab::joint::{Absence, Drained, History, Started, cold_at_members};
 use ladderpass_lab::load::Entry;
 use ladderpass_rules::{Answer, Grace};
 use std::collections::HashMap;
@@ -172,3 +172,22 @@
     world.journal.truncate(1);
     assert_eq!(world.rules(), [5]);
 }
+
+/// By the members alone, whoever sent it; and how near it came.
+#[test]
+fn what_came_to_a_cold_member_is_counted_over_all_routers() {
+    let (warm_within, overload_for) = (Span::from_millis(10_000), Span::from_millis(3000));
+    let started =
+        Started { at: at(0), member: 1, capacity: 100.0, cold_from: 0.2, warm_within, overload_for };
+    let came = |count: usize| {
+        let id = |nth: usize| format!("1-{nth:x}").into_boxed_str();
+        let came =
+            |nth| Came { at: at(0), member: 1, id: id(nth), position: at(0), turned_away: nth % 2 == 0 };
+        Truth { came: (0..count).map(came).collect(), ..Truth::default() }
+    };
+    // It bears 60 in the window that ends at its start, and 77.5 with what is put down to chance.
+    let (broken, roots) = cold_at_members(&[started], &came(77));
+    assert!(broken.is_empty() && (1.9..2.0).contains(&roots), "{roots}");
+    assert_eq!(cold_at_members(&[started], &came(78)).0.len(), 1);
+    assert_eq!(cold_at_members(&[started], &came(0)).1, f64::NEG_INFINITY);
+}
--- a/crates/ladderpass-rules/src/cold.rs
+++ b/crates/ladderpass-rules/src/cold.rs
@@ -8,6 +8,15 @@
 #[derive(Default)]
 pub struct Cold {
     members: HashMap<MemberNo, Kept>,
+    /// The most that a window lay above what a member bore and the few, in roots of what it bore.
+    roots: Option<f64>,
+}
+
+impl Cold {
+    /// How near it came: `ROOTS` are allowed. Far below, where nothing came to a cold member.
+    pub fn roots(&self) -> f64 {
+        self.roots.unwrap_or(f64::NEG_INFINITY)
+    }
 }
 
 struct Kept {
@@ -67,6 +76,8 @@
                 }
                 let bears = kept.bears(event.at);
                 let most = bears + ROOTS * bears.sqrt() + FEW;
+                let roots = (kept.window.len() as f64 - bears - FEW) / bears.sqrt().max(1e-9);
+                self.roots = Some(self.roots.map_or(roots, |before| before.max(roots)));
                 let fresh = kept.told.is_none_or(|told| event.at - told > kept.overload_for);
                 if kept.window.len() as f64 > most && fresh {
                     kept.told = Some(event.at);
