A session's read sees writes whose answer is late or lost on the way

By a log of each session's steps: the write was out at the primary, its connection was reset 0.7 s after the member had committed it, and reads of the session went to replicas meanwhile, and afterwards. At fault: Sessions (state.rs) kept commits of good answers with a position alone, as they were when the read was taken.

Change: a write of the session that is out for 100 ms (by when the protocol takes an answer for known) may be committed by then; one that may have run, or whose answer broke off, by its end; and it counts at each decision of the read, also at one made anew as it waited for its connection.

Test: a_session_sees_a_write_whose_answer_is_late_or_lost fails on the program before.

--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -36,6 +36,8 @@
 const LONG_GONE: Span = Span::from_millis(1000);
 /// Staleness that reads without a bound start at.
 const ANY_BOUND: Span = Span::from_millis(30_000);
+/// An answer is taken for lost on the way from then on: a write may be committed, and its session must see it.
+const KNOWN: Span = Span::from_millis(100);
 /// How long a fresh router holds RPCs for the first answers.
 const FIRST_ANSWERS: Span = Span::from_millis(300);
 /// A failed call-out weighs in the pick like this many in flight; silence past so many answer times, by each.
@@ -148,10 +150,8 @@
 
     /// Takes an RPC: from here on it is owed one final answer.
     pub fn take(&mut self, now: Time, arrival: Arrival) -> (Rpc, Decision) {
-        let written = match self.deployment.carried {
-            true => arrival.last_write.map_or(Time::NEVER, |age| now - age),
-            false => self.sessions.written(arrival.session),
-        };
+        let age = arrival.last_write.filter(|_| self.deployment.carried);
+        let written = age.map_or(Time::NEVER, |age| now - age);
         self.taken.add(now, 1.0);
         let luck = arrival.lot.unwrap_or_else(|| self.chance.generate());
         let rpc = self.rpcs.open(now, arrival, written, luck);
@@ -218,7 +218,7 @@
         let needs = match level {
             // A front may take a tick until its last byte is sent, from which the bound counts.
             Level::Bounded(bound) => now + self.deployment.tick - bound,
-            Level::Session => state.written.max(Time::NEVER + Span::from_nanos(1)),
+            Level::Session => state.written.max(self.sessions.written(state.arrival.session, now - KNOWN)),
             _ => Time::NEVER,
         };
         // The filter and the pick: fewest in flight among the replicas that pass, ties in turn.
@@ -319,6 +319,7 @@
         self.rpcs[rpc].called_out(now);
         let member = self.fleet.member_mut(index);
         member.called_out(now, method, self.rows[method as usize].usual);
+        self.sessions.writes(self.rows[method as usize].writer(self.rpcs[rpc].arrival.session), now);
         Decision::CallOut { member: member.id, limit }
     }
 
@@ -892,16 +893,16 @@
         if matches!(outcome.ended, Ended::Ok | Ended::TimedOut) && !lost {
             stretch = self.learn_answer(now, index, arrival.method, sent, outcome.took);
         }
-        if let Some(position) = outcome.position {
-            let commit = outcome.ended == Ended::Ok && level == Level::Write;
-            if commit {
-                self.sessions.wrote(arrival.session, position);
-            } else {
-                self.fleet.member_mut(index).lag = Some(now - position);
-                self.told_position(now, index, position);
-                if outcome.role == Some(Role::Replica) {
-                    self.share(now, index, Word::Replica, position, stretch);
-                }
+        let commit = outcome.ended == Ended::Ok && level == Level::Write;
+        // No position is told where the answer broke off: what may have run is committed by now.
+        let at = outcome.position.filter(|_| commit).unwrap_or(now + self.deployment.tick);
+        let writer = self.rows[arrival.method as usize].writer(arrival.session);
+        self.sessions.wrote(writer, sent, Some(at).filter(|_| !outcome.ended.never_ran()));
+        if let Some(position) = outcome.position.filter(|_| !commit) {
+            self.fleet.member_mut(index).lag = Some(now - position);
+            self.told_position(now, index, position);
+            if outcome.role == Some(Role::Replica) {
+                self.share(now, index, Word::Replica, position, stretch);
             }
         }
         if let Some(role) = outcome.role {
--- a/crates/ladderpass-core/src/state.rs
+++ b/crates/ladderpass-core/src/state.rs
@@ -182,19 +182,41 @@
     }
 }
 
-/// Commit of each session's last write that was answered here.
+/// Commit of each session's last write that was answered here, or may have run.
 #[derive(Default)]
-pub struct Sessions(Vec<Time>);
+pub struct Sessions {
+    commits: Vec<Time>,
+    /// Writes that are out, in the order in which they were sent.
+    out: VecDeque<(u32, Time)>,
+}
 
 impl Sessions {
-    pub fn written(&self, session: Option<u32>) -> Time {
-        session.and_then(|s| self.0.get(s as usize).copied()).unwrap_or(Time::NEVER)
-    }
-
-    pub fn wrote(&mut self, session: Option<u32>, commit: Time) {
-        let Some(session) = session.map(|s| s as usize) else { return };
-        self.0.resize(self.0.len().max(session + 1), Time::NEVER);
-        self.0[session] = self.0[session].max(commit);
+    /// What a read of the session must see. Guards against a stale read where a write's answer is lost or late on
+    /// the way: one that is out since before `known` may be committed by then. Harms reads behind slow writes. One
+    /// that has written nothing takes any member that has told how far it is.
+    pub fn written(&self, session: Option<u32>, known: Time) -> Time {
+        let any = Time::NEVER + Span::from_nanos(1);
+        let Some(session) = session else { return any };
+        let commit = self.commits.get(session as usize).copied().unwrap_or(any).max(any);
+        let mut before = self.out.iter().take_while(|&&(_, sent)| sent <= known);
+        if before.any(|&(of, _)| of == session) { commit.max(known) } else { commit }
+    }
+
+    /// A write of the session goes out.
+    pub fn writes(&mut self, session: Option<u32>, now: Time) {
+        self.out.extend(session.map(|session| (session, now)));
+    }
+
+    /// It has ended; None: it never ran.
+    pub fn wrote(&mut self, session: Option<u32>, sent: Time, commit: Option<Time>) {
+        let Some(session) = session else { return };
+        if let Some(at) = self.out.iter().position(|&out| out == (session, sent)) {
+            self.out.remove(at);
+        }
+        let Some(commit) = commit else { return };
+        let session = session as usize;
+        self.commits.resize(self.commits.len().max(session + 1), Time::NEVER);
+        self.commits[session] = self.commits[session].max(commit);
     }
 }
 
@@ -210,6 +232,11 @@
         Row { method: method.clone(), answers: Ring::new(bucket), usual }
     }
 
+    /// The session, where it writes.
+    pub fn writer(&self, session: Option<u32>) -> Option<u32> {
+        session.filter(|_| self.method.level == Level::Write)
+    }
+
     /// When an answer to what was taken then stops earning anything.
     pub fn wanted_by(&self, taken: Time, due: Time) -> Time {
         if self.method.late > 0.0 { due } else { due.min(taken + self.method.soft_deadline) }
--- a/crates/ladderpass-core/tests/exceptions.rs
+++ b/crates/ladderpass-core/tests/exceptions.rs
@@ -557,3 +557,41 @@
     assert_eq!(sent(200), None, "left out");
     assert_eq!(sent(1000), Some(0));
 }
+
+/// A write's answer that is late or lost on the way: the member may have committed it, and its session must see that.
+#[test]
+fn a_session_sees_a_write_whose_answer_is_late_or_lost() {
+    for ended in [Ended::Ok, Ended::Broken, Ended::TimedOut, Ended::Overloaded] {
+        let mut router = group_of(2, |d| {
+            d.carried = false;
+            d.methods.push(method(Level::Session, Effect::Idempotent));
+        });
+        let of = |session, method, ms| Arrival { session: Some(session), ..arrival(method, ms) };
+        // Replicas tell how far they are, all the time and 40 ms behind.
+        let tell = |router: &mut Router, ms: i64| {
+            router.tend(at(ms));
+            probe(router, ms, 0, ms, true);
+            [1, 2].into_iter().for_each(|member| probe(router, ms, member, ms - 40, false));
+        };
+        tell(&mut router, 1000);
+        let (write, decision) = router.take(at(1000), of(5, 1, 1000));
+        assert_eq!(sent_to(decision), Some(0));
+        let read = |router: &mut Router, ms, session| {
+            let (rpc, decision) = router.take(at(ms), of(session, 4, ms));
+            rpc.left(router);
+            router.tend(at(ms));
+            matches!(sent_to(decision), Some(1 | 2))
+        };
+        tell(&mut router, 1050);
+        assert!(read(&mut router, 1050, 5), "{ended:?}: no answer to it can be known yet");
+        assert!(!read(&mut router, 1130, 5), "{ended:?}: it may be committed at 1030, and they are at 1010");
+        assert!(read(&mut router, 1130, 6), "{ended:?}: another session's");
+        // The answer broke off behind its row: it tells no position.
+        write.ended(&mut router, at(1140), outcome(0, ended, 140));
+        write.left(&mut router);
+        tell(&mut router, 1150);
+        assert_eq!(read(&mut router, 1150, 5), ended == Ended::Overloaded, "{ended:?}: may have run by 1140");
+        tell(&mut router, 2000);
+        assert!(read(&mut router, 2000, 5), "{ended:?}: they have reached 1960");
+    }
+}
--- a/crates/ladderpass/src/reducer.rs
+++ b/crates/ladderpass/src/reducer.rs
@@ -246,7 +246,7 @@
         let own = Own::new(now, &launch.operator, launch.allowance, facts.deployment.methods.len());
         let mut zones = Names::default();
         zones.intern(launch.operator.zone.as_deref().unwrap_or_default());
-        let is_bounded = |method: &Method| matches!(method.level, Level::Bounded(_));
+        let is_bounded = |method: &Method| matches!(method.level, Level::Bounded(_) | Level::Session);
         let mut reducer = Reducer {
             bounded: facts.deployment.methods.iter().map(is_bounded).collect(),
             writes: facts.deployment.methods.iter().map(|method| method.level == Level::Write).collect(),
