Capacity: both worlds of the data path send the same statement by one function

Found on rereading: world.rs wrote again what query() in process.rs says. It stands in data_path.rs now, for both; the draws are as before. The comment on what is decided anew at the send names sessions too.

--- a/crates/ladderpass-lab/src/capacity/data_path.rs
+++ b/crates/ladderpass-lab/src/capacity/data_path.rs
@@ -438,3 +438,18 @@
     ];
     figures.into_iter().filter_map(|(name, figure)| Some((name, figure?))).collect()
 }
+
+/// A statement as clients send it: a read by key, or a write.
+fn query(id: u64, group: u64, writes: bool) -> Vec<u8> {
+    let comment = |method: &str| format!("/* id={id:x},c={method},d=1000,cluster={group} */");
+    let statement = match writes {
+        true => format!(
+            "INSERT INTO entries (ref, payload) VALUES ('k{id}', '\\x9f03') RETURNING payload {}",
+            comment("move")
+        ),
+        false => format!("SELECT payload FROM entries WHERE ref = 'k{id}' {}", comment("board")),
+    };
+    let mut out = Vec::new();
+    ladderpass_fleet::proto::put_query(&mut out, &statement);
+    out
+}
--- a/crates/ladderpass-lab/src/capacity/data_path/process.rs
+++ b/crates/ladderpass-lab/src/capacity/data_path/process.rs
@@ -129,7 +129,7 @@
                 }
                 std::thread::sleep(due.saturating_duration_since(Instant::now()));
                 let id = NEXT.fetch_add(1, Ordering::Relaxed);
-                let query = query(id, chance.random_range(0..groups), chance.random_range(0..5) == 0);
+                let query = super::query(id, chance.random_range(0..groups), chance.random_range(0..5) == 0);
                 let at = Instant::now();
                 if let Way::ByChance(_) = way {
                     streams.swap(0, chance.random_range(0..kept));
@@ -182,20 +182,6 @@
     }
 }
 
-fn query(id: u64, group: u64, writes: bool) -> Vec<u8> {
-    let comment = |method: &str| format!("/* id={id:x},c={method},d=1000,cluster={group} */");
-    let statement = match writes {
-        true => format!(
-            "INSERT INTO entries (ref, payload) VALUES ('k{id}', '\\x9f03') RETURNING payload {}",
-            comment("move")
-        ),
-        false => format!("SELECT payload FROM entries WHERE ref = 'k{id}' {}", comment("board")),
-    };
-    let mut out = Vec::new();
-    proto::put_query(&mut out, &statement);
-    out
-}
-
 fn open(address: SocketAddr) -> io::Result<TcpStream> {
     let mut stream = TcpStream::connect(address)?;
     stream.set_nodelay(true)?;
--- a/crates/ladderpass-lab/src/capacity/data_path/world.rs
+++ b/crates/ladderpass-lab/src/capacity/data_path/world.rs
@@ -565,16 +565,7 @@
         self.counts.reads += f64::from(u8::from(!writes));
         self.next += 1;
         let id = self.next;
-        let comment = |method: &str| format!("/* id={id:x},c={method},d=1000,cluster={group} */");
-        let statement = match writes {
-            true => format!(
-                "INSERT INTO entries (ref, payload) VALUES ('k{id}', '\\x9f03') RETURNING payload {}",
-                comment("move")
-            ),
-            false => format!("SELECT payload FROM entries WHERE ref = 'k{id}' {}", comment("board")),
-        };
-        let mut query = Vec::new();
-        proto::put_query(&mut query, &statement);
+        let query = super::query(id, u64::from(group), writes);
         let open = self.clients[index].conn.filter(|_| self.clients[index].welcomed);
         match open {
             Some(conn) => self.feed(conn, &query),
--- a/crates/ladderpass/src/reducer.rs
+++ b/crates/ladderpass/src/reducer.rs
@@ -162,7 +162,8 @@
     router: Router,
     limits: Limits,
     methods: HashMap<String, u32, foldhash::fast::RandomState>,
-    /// By method: has it a bound on its data's age, and does it write?
+    /// By method: must its data be as new at the send as it was decided (a bound on its age, or what its session
+    /// wrote), and does it write?
     bounded: Vec<bool>,
     writes: Vec<bool>,
     /// Names of the values in a load report.
