--- a/crates/ladderpass-lab/src/router.rs
+++ b/crates/ladderpass-lab/src/router.rs
@@ -32,6 +32,9 @@
     pub clock_ms: i32,
     /// Where it listens; an address of its own, if not said.
     pub listen: Option<SocketAddr>,
+    /// Arguments before all others, and further variables: for a program that is more than the router.
+    pub arguments: Vec<String>,
+    pub variables: Vec<(String, String)>,
 }
 
 impl Start {
@@ -46,6 +49,8 @@
             faulty: None,
             clock_ms: 0,
             listen: None,
+            arguments: Vec::new(),
+            variables: Vec::new(),
         }
     }
 }
@@ -118,6 +123,7 @@
         let told = file(&scenario.told(ladderpass_fleet::now(), seed, &start.allowed, members), "json")?;
         let mut files = vec![told.clone()];
         let mut command = Command::new(&start.binary);
+        command.args(&start.arguments).envs(start.variables.iter().cloned());
         command.env("RELAY_NAME", "lab").env("RELAY_LISTEN", address.to_string());
         command.env("RELAY_DISCOVERY", discovery.to_string()).env("RELAY_CONFIG", &told);
         command.env("RUST_LOG", &start.log).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
