A system call that fails for want of memory costs no answer and no process

Seen: epoll_ctl with ENOMEM made event_loop.dispatch answer an error, which run handed on (sockets.rs, the end of the loop); recvmsg and send with ENOMEM or ENOBUFS were taken for the connection's end (sockets.rs, read and write); a client's connection that epoll_ctl did not take was closed unread (accept, register); the listener counted as enabled where enabling it had failed, so that no client came in any more; a control message that could not be read threw away bytes that had been (wires.rs). Ruled out: EINTR, short writes, the errors of accept. Now what failed for a moment is done once more, 1 ms later; connections are looked at while the loop can't wait; a loop that fails for 10 s ends the process.

--- a/crates/ladderpass/src/lib.rs
+++ b/crates/ladderpass/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod buffer;
 pub mod discovery;
+mod failures;
 pub mod faulty;
 pub mod launch;
 pub mod limits;
--- a/crates/ladderpass/src/limits.rs
+++ b/crates/ladderpass/src/limits.rs
@@ -44,6 +44,9 @@
     pub leaving: usize,
     /// What there was no descriptor for, and nothing that could make place, is tried again after this.
     pub denied_rest: Span,
+    /// A call that failed for a moment is made again after this; a loop that has failed for so long has failed for good.
+    pub postponed_rest: Duration,
+    pub loop_fails: Duration,
     /// So many connections make place for one that was denied: were it for want of something else, all would
     /// go.
     pub denials: u8,
@@ -130,6 +133,8 @@
             id_rest: Span::from_millis(5000),
             leaving: 8,
             denied_rest: Span::from_millis(100),
+            postponed_rest: Duration::from_millis(1),
+            loop_fails: Duration::from_secs(10),
             denials: 8,
             accepts: 64,
             reads: 8,
--- a/crates/ladderpass/src/sockets.rs
+++ b/crates/ladderpass/src/sockets.rs
@@ -4,6 +4,7 @@
 //! It owns the sockets and the clock, and nothing else. It must never decide: which connection, when and what
 //! is written stands in the reducer.
 
+use crate::failures::{Postponed, is_passing, is_short};
 use crate::launch::Launch;
 use crate::reducer::{ConnId, Effect, Event, Reducer};
 use crate::wires::{Teller, Wire, Wires};
@@ -65,6 +66,9 @@
     /// Reads from one connection in one go; those with more to read have their next go after the others.
     reads: usize,
     unfinished: Vec<ConnId>,
+    /// What a call that failed for a moment left undone, and how long it rests.
+    postponed: Postponed,
+    postponed_rest: Duration,
     wires: Wires,
     /// The socket that other routers send to.
     peers: Option<Rc<UdpSocket>>,
@@ -98,6 +102,7 @@
     let budget = launch.limits.events;
     let (allowed, told) = (launch.allowance.descriptors, launch.sockets_told);
     let short_rest = Duration::from_nanos(launch.limits.denied_rest.nanos().max(0) as u64);
+    let (postponed_rest, loop_fails) = (launch.limits.postponed_rest, launch.limits.loop_fails);
     let wires = Wires::new().map_err(|fault| format!("event loop: {fault}"))?;
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]);
     handle
@@ -143,6 +148,8 @@
         short_rest,
         reads,
         unfinished: Vec::new(),
+        postponed: Postponed::default(),
+        postponed_rest,
         wires,
         peers,
         told: VecDeque::new(),
@@ -156,6 +163,7 @@
         short: None,
         over: false,
     };
+    let mut failing_since = None;
     while !front.over {
         front.turn();
         if front.over {
@@ -169,13 +177,24 @@
             wake => wake.map(|at| Duration::from_nanos((at - front.clock.now()).nanos().max(0) as u64)),
         };
         let wait = wait.map_or(longest, |wait| wait.min(longest));
+        let wait = if front.postponed.is_empty() { wait } else { wait.min(postponed_rest) };
         front.look_at_itself();
         front.awake_by = Some(Instant::now() + wait);
         let unfinished = std::mem::take(&mut front.unfinished);
-        event_loop.dispatch(wait, &mut front).map_err(|fault| format!("event loop: {fault}"))?;
+        match event_loop.dispatch(wait, &mut front) {
+            Ok(()) => failing_since = None,
+            Err(fault) => {
+                let since = *failing_since.get_or_insert_with(Instant::now);
+                if since.elapsed() >= loop_fails {
+                    return Err(format!("event loop: {fault}"));
+                }
+                front.go_without_the_loop(&fault);
+            }
+        }
         front.looks.awake = front.looks.awake.or_else(|| Some(Instant::now()));
         front.look_at_told();
         unfinished.into_iter().for_each(|id| front.read(id, true));
+        front.resume();
     }
     tracing::info!("{name} has stopped");
     Ok(())
@@ -217,6 +236,26 @@
         }
     }
 
+    /// Guards all that is owed against a loop that can't wait for its sources, as where the kernel has no memory to arm
+    /// them: connections are looked at all the same. The sources tell what they have once the loop waits again.
+    fn go_without_the_loop(&mut self, fault: &calloop::Error) {
+        tracing::warn!("event loop: {fault}");
+        std::thread::sleep(self.postponed_rest);
+        self.harvest();
+        if self.enabled {
+            self.accept();
+        }
+    }
+
+    /// Does once more what failed for a moment.
+    fn resume(&mut self) {
+        for (id, stream) in std::mem::take(&mut self.postponed.accepted) {
+            self.let_in(id, stream);
+        }
+        std::mem::take(&mut self.postponed.reads).into_iter().for_each(|id| self.read(id, true));
+        std::mem::take(&mut self.postponed.writes).into_iter().for_each(|id| self.write(id));
+    }
+
     fn harvest(&mut self) {
         self.check_standstill();
         self.hear_sockets();
@@ -287,8 +326,9 @@
         // closes.
         if self.short.is_some_and(|since| since.elapsed() >= self.short_rest) {
             self.short = None;
-            self.enable_listener(self.listening);
         }
+        // Here too as the call that does it may have failed.
+        self.enable_listener(self.listening && self.short.is_none());
         self.carry_out();
         self.apply(Event::Turn);
         self.carry_out();
@@ -352,10 +392,11 @@
         if enabled == self.enabled {
             return;
         }
-        self.enabled = enabled;
         let done = if enabled { self.handle.enable(token) } else { self.handle.disable(token) };
-        if let Err(fault) = done {
-            tracing::error!("listener: {fault}");
+        match done {
+            Ok(()) => self.enabled = enabled,
+            // The next turn tries again.
+            Err(fault) => tracing::error!("listener: {fault}"),
         }
     }
 
@@ -385,6 +426,9 @@
     fn accept_some(&mut self) -> Accepted {
         self.check_standstill();
         let Some((listener, _)) = self.listener.clone() else { return Accepted::All };
+        if !self.postponed.accepted.is_empty() {
+            return Accepted::Full;
+        }
         for _ in 0..self.reducer.accepts_now() {
             if !self.reducer.accepts() {
                 return Accepted::Full;
@@ -392,17 +436,9 @@
             match listener.accept() {
                 Ok((stream, _)) => {
                     let id = self.reducer.next_id();
-                    if let Err(fault) = self.register(id, stream, false) {
-                        tracing::warn!("accept: {fault}");
-                        continue;
-                    }
-                    self.apply(Event::Accepted(id));
-                    self.read(id, true);
-                    // Guards the allowance: one that had ended at the door gives its descriptor back before
-                    // the next takes one.
-                    if let Some(nth) = self.effects.iter().rposition(|effect| *effect == Effect::Close(id)) {
-                        self.effects.remove(nth);
-                        self.close(id);
+                    self.let_in(id, stream);
+                    if !self.postponed.accepted.is_empty() {
+                        return Accepted::Full;
                     }
                 }
                 Err(fault) if fault.kind() == ErrorKind::WouldBlock => return Accepted::All,
@@ -419,6 +455,22 @@
         Accepted::More
     }
 
+    /// Guards the request of a client that the machine has accepted: where it can't be watched for a moment it waits.
+    fn let_in(&mut self, id: ConnId, stream: TcpStream) {
+        if let Err((stream, fault)) = self.register(id, stream, false) {
+            tracing::warn!("accept: {fault}");
+            self.postponed.accepted.push((id, stream));
+            return;
+        }
+        self.apply(Event::Accepted(id));
+        self.read(id, true);
+        // Guards the allowance: one that had ended at the door gives its descriptor back before the next takes one.
+        if let Some(nth) = self.effects.iter().rposition(|effect| *effect == Effect::Close(id)) {
+            self.effects.remove(nth);
+            self.close(id);
+        }
+    }
+
     fn connect(&mut self, id: ConnId, address: SocketAddr) {
         let open = || -> io::Result<TcpStream> {
             let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
@@ -428,19 +480,24 @@
                 _ => Ok(socket.into()),
             }
         };
-        match open().and_then(|stream| self.register(id, stream, true)) {
-            Ok(()) => {}
-            Err(fault) => {
-                tracing::debug!("connect to {address}: {fault}");
-                self.apply(if is_short(&fault) { Event::Denied(id) } else { Event::Closed(id) });
-            }
+        let registered =
+            open().and_then(|stream| self.register(id, stream, true).map_err(|(_, fault)| fault));
+        if let Err(fault) = registered {
+            tracing::debug!("connect to {address}: {fault}");
+            self.apply(if is_short(&fault) { Event::Denied(id) } else { Event::Closed(id) });
         }
     }
 
-    fn register(&mut self, id: ConnId, stream: TcpStream, ours: bool) -> io::Result<()> {
-        stream.set_nonblocking(true)?;
-        stream.set_nodelay(true)?;
-        self.wires.add(id, Wire::new(stream, ours))
+    /// Gives the stream back where it can't be watched.
+    fn register(&mut self, id: ConnId, stream: TcpStream, ours: bool) -> Result<(), (TcpStream, io::Error)> {
+        if let Err(fault) = stream.set_nonblocking(true) {
+            return Err((stream, fault));
+        }
+        // Without it answers may come a little later, and no more.
+        if let Err(fault) = stream.set_nodelay(true) {
+            tracing::debug!("no TCP_NODELAY: {fault}");
+        }
+        self.wires.add(id, Wire::new(stream, ours)).map_err(|(wire, fault)| (wire.stream, fault))
     }
 
     fn ready(&mut self, id: ConnId) {
@@ -489,6 +546,11 @@
                 }
                 Err(fault) if fault.kind() == ErrorKind::WouldBlock => true,
                 Err(fault) if fault.kind() == ErrorKind::Interrupted => false,
+                Err(fault) if is_passing(&fault) => {
+                    wire.unread = true;
+                    self.postponed.reads.push(id);
+                    return self.apply(Event::Unread(id));
+                }
                 Err(_) => return self.apply(Event::Closed(id)),
             };
             if emptied {
@@ -517,6 +579,8 @@
                 Ok(count) => self.apply(Event::Written(id, count)),
                 Err(fault) if fault.kind() == ErrorKind::WouldBlock => return self.apply(Event::Stuck(id)),
                 Err(fault) if fault.kind() == ErrorKind::Interrupted => {}
+                // The kernel tells of no room that there always was: it is tried again unasked.
+                Err(fault) if is_passing(&fault) => return self.postponed.writes.push(id),
                 Err(_) => return self.apply(Event::Closed(id)),
             }
         }
@@ -586,12 +650,5 @@
     Duration::from_micros(micros.max(0) as u64)
 }
 
-/// Is it for want of descriptors or memory? Anything else is that one connection's fault, which ended while it waited.
-fn is_short(fault: &io::Error) -> bool {
-    use nix::errno::Errno;
-    let code = fault.raw_os_error().map(Errno::from_raw);
-    matches!(code, Some(Errno::EMFILE | Errno::ENFILE | Errno::ENOBUFS | Errno::ENOMEM))
-}
-
 /// What a connect that goes on in the background answers: EINPROGRESS.
 const IN_PROGRESS: i32 = 115;
--- a/crates/ladderpass/src/wires.rs
+++ b/crates/ladderpass/src/wires.rs
@@ -78,7 +78,8 @@
         let fd = self.stream.as_raw_fd();
         let message = recvmsg::<()>(fd, &mut parts, Some(&mut self.stamp), MsgFlags::empty())?;
         let mut waited = Span::ZERO;
-        for told in message.cmsgs()? {
+        // The bytes have been read, whatever became of the stamp.
+        for told in message.cmsgs().into_iter().flatten() {
             if let ControlMessageOwned::ScmTimestampns(stamp) = told {
                 let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
                 waited = age(wall, Duration::from(stamp));
@@ -104,11 +105,16 @@
         self.set.clone()
     }
 
-    pub fn add(&mut self, id: ConnId, wire: Wire) -> io::Result<()> {
+    /// Gives it back where the kernel's set takes it not.
+    pub fn add(&mut self, id: ConnId, wire: Wire) -> Result<(), (Wire, io::Error)> {
         let flags = EpollFlags::EPOLLIN | EpollFlags::EPOLLOUT | EpollFlags::EPOLLRDHUP | EpollFlags::EPOLLET;
-        self.set.0.add(&wire.stream, EpollEvent::new(flags, id.0))?;
-        self.wires.insert(id, wire);
-        Ok(())
+        match self.set.0.add(&wire.stream, EpollEvent::new(flags, id.0)) {
+            Ok(()) => {
+                self.wires.insert(id, wire);
+                Ok(())
+            }
+            Err(fault) => Err((wire, fault.into())),
+        }
     }
 
     pub fn len(&self) -> usize {
