Failing tests: a stepped wall clock, an unread configuration, calls failing at the start

Seen: after a step of 5 s forward 508 of 880 RPCs are pushed back, as the kernel's stamps are held against the wall clock; after SIGHUP a file that can't be opened once (EMFILE) is never read again, so that discovery's new address is never asked; one epoll_ctl, socket, bind or open that fails at the start ends the process.

--- a/crates/ladderpass/tests/failing/mod.rs
+++ b/crates/ladderpass/tests/failing/mod.rs
@@ -46,6 +46,10 @@
 }
 
 impl Step {
+    pub fn forward(after: Duration, by: Duration) -> Step {
+        Step { after, by, back: false }
+    }
+
     pub fn back(after: Duration, by: Duration) -> Step {
         Step { after, by, back: true }
     }
--- a/crates/ladderpass/tests/failing_calls.rs
+++ b/crates/ladderpass/tests/failing_calls.rs
@@ -1,16 +1,20 @@
 //! System calls that fail for a moment, and a wall clock that is stepped, over real connections: each RPC is answered, no
 //! rule breaks, and the process goes on (`docs/terms-audit.md`). The router is this test binary itself, started again.
 
+mod common;
 mod failing;
 
+use common::{file, told};
 use failing::{Failure, Step};
 use ladderpass_core::Span;
 use ladderpass_fleet::Scenario;
 use ladderpass_lab::bed::{self, Seen, open};
 use ladderpass_lab::load::Plan;
 use ladderpass_lab::router::Start;
+use std::net::TcpListener;
+use std::process::{Child, Command, Stdio};
 use std::sync::{Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 #[test]
 fn router_process() {
@@ -80,3 +84,103 @@
         play(&failing::start(&[], &[Step::back(Duration::from_millis(1500), by)]), 0);
     }
 }
+
+/// The kernel's stamps on what lies in its buffers are of the clock before the step.
+#[test]
+fn a_wall_clock_that_steps_forward_ends_no_rpc() {
+    for by in [Duration::from_secs(5), Duration::from_secs(40), Duration::from_secs(3600)] {
+        play(&failing::start(&[], &[Step::forward(Duration::from_millis(1500), by)]), 0);
+    }
+}
+
+/// A router without members, before a discovery of the test's.
+struct Lone {
+    process: Child,
+    config: std::path::PathBuf,
+    address: String,
+}
+
+impl Drop for Lone {
+    fn drop(&mut self) {
+        let _ = (self.process.kill(), self.process.wait(), std::fs::remove_file(&self.config));
+    }
+}
+
+impl Lone {
+    fn start(failures: &[Failure], discovery: &TcpListener) -> Lone {
+        let start = failing::start(failures, &[]);
+        let config = file(&told(&[]));
+        let address = TcpListener::bind(common::own_address()).and_then(|own| own.local_addr());
+        let address = address.expect("a port").to_string();
+        let mut command = Command::new(&start.binary);
+        command.args(&start.arguments).envs(start.variables).stdout(Stdio::null());
+        command.env("RELAY_NAME", "n0").env("RELAY_LISTEN", &address).env("RELAY_CONFIG", &config);
+        command.env("RELAY_DISCOVERY", discovery.local_addr().expect("an address").to_string());
+        let process = command.spawn().expect("it starts");
+        Lone { process, config, address }
+    }
+
+    fn is_served_within(&self, patience: Duration) -> bool {
+        let until = Instant::now() + patience;
+        while Instant::now() < until {
+            if std::net::TcpStream::connect(&self.address).is_ok() {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        false
+    }
+}
+
+fn called_within(discovery: &TcpListener, patience: Duration) -> bool {
+    discovery.set_nonblocking(true).expect("it can");
+    let until = Instant::now() + patience;
+    while Instant::now() < until {
+        if discovery.accept().is_ok() {
+            return true;
+        }
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    false
+}
+
+/// What the new discovery has counts as told 4 s after SIGHUP, though the file could not be read at once.
+#[test]
+fn a_configuration_that_can_not_be_read_for_a_moment_is_read_again() {
+    let _alone = alone();
+    let [first, second] = [(); 2].map(|()| TcpListener::bind(common::own_address()).expect("a port"));
+    for errno in [libc::EMFILE, libc::ENFILE, libc::EIO, libc::EINTR, libc::ENOMEM] {
+        let failure = Failure { every: 1, count: 5, ..Failure::of(libc::SYS_openat, errno) };
+        let router = Lone::start(&[failure], &first);
+        assert!(called_within(&first, Duration::from_secs(5)), "it starts");
+        std::thread::sleep(Duration::from_millis(1200));
+        let good = std::fs::read_to_string(&router.config).expect("its file");
+        let moved = format!("{{\"discovery\":\"{}\",", second.local_addr().expect("an address"));
+        std::fs::write(&router.config, good.replacen('{', &moved, 1)).expect("written");
+        let pid = nix::unistd::Pid::from_raw(router.process.id() as i32);
+        nix::sys::signal::kill(pid, nix::sys::signal::Signal::SIGHUP).expect("it runs");
+        assert!(called_within(&second, Duration::from_secs(2)), "error {errno}");
+    }
+}
+
+/// Nor does any of the calls that a start makes refuse it.
+#[test]
+fn calls_that_fail_at_the_start_refuse_nothing() {
+    let _alone = alone();
+    let discovery = TcpListener::bind(common::own_address()).expect("a port");
+    let at_start =
+        |call, errno| Failure { after: Duration::ZERO, every: 1, count: 3, ..Failure::of(call, errno) };
+    for failure in [
+        at_start(libc::SYS_epoll_ctl, libc::ENOMEM),
+        at_start(libc::SYS_epoll_create1, libc::EMFILE),
+        at_start(libc::SYS_socket, libc::ENFILE),
+        at_start(libc::SYS_bind, libc::EADDRINUSE),
+        at_start(libc::SYS_listen, libc::EADDRINUSE),
+        at_start(libc::SYS_openat, libc::ENFILE),
+        at_start(libc::SYS_signalfd4, libc::ENOMEM),
+    ] {
+        let router = Lone::start(&[failure], &discovery);
+        assert!(router.is_served_within(Duration::from_secs(5)), "{failure:?}");
+        assert!(called_within(&discovery, Duration::from_secs(5)), "{failure:?}");
+    }
+}
