A wall clock that is stepped makes nothing older that lies in the kernel's buffers

Seen: after a step of 5 s forward 508 of 880 RPCs were pushed back. Line at fault: Wire::read held the kernel's stamp against the wall clock of the moment, and believed up to 60 s. Ruled out: the core's clock, which is monotonic from the start on. Now a stamp is held against each reading of the wall clock that may have been in force (arrival.rs, without a clock of its own), and all of them against the time since the connection was last seen empty, which the monotonic clock tells.

--- a/crates/ladderpass/src/lib.rs
+++ b/crates/ladderpass/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! It owns the parts' order alone. It must never hold anything.
 
+pub mod arrival;
 pub mod buffer;
 pub mod discovery;
 mod failures;
--- a/crates/ladderpass/src/sockets.rs
+++ b/crates/ladderpass/src/sockets.rs
@@ -4,6 +4,7 @@
 //! It owns the sockets and the clock, and nothing else. It must never decide: which connection, when and what
 //! is written stands in the reducer.
 
+use crate::arrival::WallClock;
 use crate::failures::{Postponed, is_passing, is_short};
 use crate::launch::Launch;
 use crate::reducer::{ConnId, Effect, Event, Reducer};
@@ -70,6 +71,11 @@
     postponed: Postponed,
     postponed_rest: Duration,
     wires: Wires,
+    wall_clock: WallClock,
+    /// When nobody waited at the listener.
+    listener_empty_at: Instant,
+    /// The sockets were looked at since the loop began to wait.
+    harvested: bool,
     /// The socket that other routers send to.
     peers: Option<Rc<UdpSocket>>,
     /// What the sockets told and has not been looked at yet: members' answers stand before clients' statements.
@@ -151,6 +157,9 @@
         postponed: Postponed::default(),
         postponed_rest,
         wires,
+        wall_clock: WallClock::default(),
+        listener_empty_at: Instant::now(),
+        harvested: false,
         peers,
         told: VecDeque::new(),
         left: Vec::new(),
@@ -181,8 +190,15 @@
         front.look_at_itself();
         front.awake_by = Some(Instant::now() + wait);
         let unfinished = std::mem::take(&mut front.unfinished);
+        let began = Instant::now();
+        front.harvested = false;
         match event_loop.dispatch(wait, &mut front) {
-            Ok(()) => failing_since = None,
+            Ok(()) => {
+                failing_since = None;
+                if !front.harvested {
+                    front.wires.was_quiet(began);
+                }
+            }
             Err(fault) => {
                 let since = *failing_since.get_or_insert_with(Instant::now);
                 if since.elapsed() >= loop_fails {
@@ -265,6 +281,7 @@
     /// members come first. Guards members against RPCs whose clients have left: their ends stand behind nothing, however
     /// many there are, and whether or not there is room for what they sent before; nothing of that is begun.
     fn hear_sockets(&mut self) {
+        self.harvested = true;
         let (told, left) = (&mut self.told, &mut self.left);
         let taken = self.wires.harvest(|id, teller| match teller {
             Teller::Member => told.push_front(id),
@@ -433,6 +450,7 @@
             if !self.reducer.accepts() {
                 return Accepted::Full;
             }
+            let asked_at = Instant::now();
             match listener.accept() {
                 Ok((stream, _)) => {
                     let id = self.reducer.next_id();
@@ -441,7 +459,10 @@
                         return Accepted::Full;
                     }
                 }
-                Err(fault) if fault.kind() == ErrorKind::WouldBlock => return Accepted::All,
+                Err(fault) if fault.kind() == ErrorKind::WouldBlock => {
+                    self.listener_empty_at = asked_at;
+                    return Accepted::All;
+                }
                 Err(fault) if !is_short(&fault) => tracing::debug!("accept: {fault}"),
                 Err(fault) => {
                     // Guards against a spin on a listener that stays ready, as when descriptors are out.
@@ -497,7 +518,8 @@
         if let Err(fault) = stream.set_nodelay(true) {
             tracing::debug!("no TCP_NODELAY: {fault}");
         }
-        self.wires.add(id, Wire::new(stream, ours)).map_err(|(wire, fault)| (wire.stream, fault))
+        let quiet_until = if ours { Instant::now() } else { self.listener_empty_at };
+        self.wires.add(id, Wire::new(stream, ours, quiet_until)).map_err(|(wire, fault)| (wire.stream, fault))
     }
 
     fn ready(&mut self, id: ConnId) {
@@ -538,9 +560,12 @@
                 return;
             }
             let wanted = room.len();
+            let asked_at = Instant::now();
             let emptied = match wire.read(room) {
                 Ok((0, _)) => return self.apply(Event::Closed(id)),
-                Ok((count, waited)) => {
+                Ok((count, stamp)) => {
+                    let quiet_until = wire.quiet_until;
+                    let waited = stamp.map_or(Span::ZERO, |stamp| self.waited(stamp, quiet_until));
                     self.apply(Event::Received(id, count, waited));
                     count < wanted && !on
                 }
@@ -554,7 +579,11 @@
                 Err(_) => return self.apply(Event::Closed(id)),
             };
             if emptied {
-                if self.wires.get_mut(id).is_some_and(|wire| std::mem::take(&mut wire.unread)) {
+                let was_unread = self.wires.get_mut(id).is_some_and(|wire| {
+                    wire.quiet_until = asked_at;
+                    std::mem::take(&mut wire.unread)
+                });
+                if was_unread {
                     self.apply(Event::Drained(id));
                 }
                 return;
@@ -567,6 +596,19 @@
         }
     }
 
+    /// How long what has this stamp of the kernel's had waited, on a connection that held nothing until then.
+    fn waited(&mut self, stamp: Duration, quiet_until: Instant) -> Span {
+        let before = self.clock.since.elapsed();
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let now = self.clock.since.elapsed();
+        // Guards against a pause of this process between the two, which would look like a step.
+        if now - before < READ_TOGETHER {
+            self.wall_clock.is_read(before, wall);
+        }
+        let waited = self.wall_clock.waited(now, stamp, quiet_until.elapsed());
+        Span::from_nanos(waited.as_nanos() as i64)
+    }
+
     /// Writes all that there is, as far as the socket takes it.
     fn write(&mut self, id: ConnId) {
         loop {
@@ -650,5 +692,8 @@
     Duration::from_micros(micros.max(0) as u64)
 }
 
+/// Two clocks that were read within this are taken for read at once.
+const READ_TOGETHER: Duration = Duration::from_millis(1);
+
 /// What a connect that goes on in the background answers: EINPROGRESS.
 const IN_PROGRESS: i32 = 115;
--- a/crates/ladderpass/src/wires.rs
+++ b/crates/ladderpass/src/wires.rs
@@ -4,7 +4,6 @@
 //! It owns the sockets. It must never look into bytes, nor decide when to read or write.
 
 use crate::reducer::ConnId;
-use ladderpass_core::Span;
 use nix::sys::epoll::{Epoll, EpollCreateFlags, EpollEvent, EpollFlags, EpollTimeout};
 use nix::sys::socket::{ControlMessageOwned, MsgFlags, recvmsg, setsockopt, sockopt};
 use rustc_hash::FxHashMap;
@@ -12,7 +11,7 @@
 use std::net::TcpStream;
 use std::os::fd::{AsFd, AsRawFd, BorrowedFd};
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 /// The kernel's set, as the loop's source.
 pub struct Set(Epoll);
@@ -31,6 +30,8 @@
     pub ours: bool,
     /// It was not read to its end the last time.
     pub unread: bool,
+    /// All that it holds unread has come since then.
+    pub quiet_until: Instant,
     /// What it has told and was not looked at yet: it stands in line once.
     told: Option<Ready>,
     /// Room for the time at which the kernel had the bytes.
@@ -59,46 +60,42 @@
     set: Rc<Set>,
     // The ids are this router's own: nobody can choose them so that they collide.
     wires: FxHashMap<ConnId, Wire>,
+    /// When the set was asked last, and told all that it had.
+    polled_at: Instant,
     events: Vec<EpollEvent>,
 }
 
 impl Wire {
-    pub fn new(stream: TcpStream, ours: bool) -> Wire {
+    /// `quiet_until`: nothing had come on it before that.
+    pub fn new(stream: TcpStream, ours: bool, quiet_until: Instant) -> Wire {
         // Without stamps the time in the kernel counts as none, which is what it was taken for before.
         if let Err(fault) = setsockopt(&stream, sockopt::ReceiveTimestampns, &true) {
             tracing::debug!("no time of arrival from the kernel: {fault}");
         }
         let stamp = nix::cmsg_space!(nix::sys::time::TimeSpec);
-        Wire { stream, coming: ours, ours, unread: false, told: None, stamp }
+        Wire { stream, coming: ours, ours, unread: false, quiet_until, told: None, stamp }
     }
 
-    /// How many bytes were read, and how long the last of them had waited in the kernel.
-    pub fn read(&mut self, room: &mut [u8]) -> io::Result<(usize, Span)> {
+    /// How many bytes were read, and when the last of them came, by the kernel's wall clock.
+    pub fn read(&mut self, room: &mut [u8]) -> io::Result<(usize, Option<Duration>)> {
         let mut parts = [IoSliceMut::new(room)];
         let fd = self.stream.as_raw_fd();
         let message = recvmsg::<()>(fd, &mut parts, Some(&mut self.stamp), MsgFlags::empty())?;
-        let mut waited = Span::ZERO;
         // The bytes have been read, whatever became of the stamp.
-        for told in message.cmsgs().into_iter().flatten() {
-            if let ControlMessageOwned::ScmTimestampns(stamp) = told {
-                let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-                waited = age(wall, Duration::from(stamp));
-            }
-        }
-        Ok((message.bytes, waited))
+        let stamps = message.cmsgs().into_iter().flatten();
+        let stamp = stamps.filter_map(|told| match told {
+            ControlMessageOwned::ScmTimestampns(stamp) => Some(Duration::from(stamp)),
+            _ => None,
+        });
+        Ok((message.bytes, stamp.last()))
     }
 }
 
-/// Guards against a clock that was set in between: nothing waited for less than no time, nor for hours.
-pub fn age(now: Duration, then: Duration) -> Span {
-    let waited = now.saturating_sub(then);
-    if waited > Duration::from_secs(60) { Span::ZERO } else { Span::from_nanos(waited.as_nanos() as i64) }
-}
-
 impl Wires {
     pub fn new() -> io::Result<Wires> {
         let set = Rc::new(Set(Epoll::new(EpollCreateFlags::EPOLL_CLOEXEC)?));
-        Ok(Wires { set, wires: FxHashMap::default(), events: vec![EpollEvent::empty(); 1024] })
+        let events = vec![EpollEvent::empty(); 1024];
+        Ok(Wires { set, wires: FxHashMap::default(), polled_at: Instant::now(), events })
     }
 
     pub fn set(&self) -> Rc<Set> {
@@ -134,10 +131,16 @@
         self.wires.remove(&id).is_some()
     }
 
+    /// The set had nothing to tell then.
+    pub fn was_quiet(&mut self, at: Instant) {
+        self.polled_at = self.polled_at.max(at);
+    }
+
     /// Puts each that is ready in line, without waiting. One that stands there already is not put in again: else those
     /// that are busy would fill it. All that the kernel has is taken, but not more than there are sockets: an end that
     /// waits behind a thousand others is known as soon as theirs.
     pub fn harvest(&mut self, mut stand: impl FnMut(ConnId, Teller)) -> io::Result<()> {
+        let began = Instant::now();
         for _ in 0..=self.wires.len() / self.events.len() {
             let count = match self.set.0.wait(&mut self.events, EpollTimeout::ZERO) {
                 Err(nix::errno::Errno::EINTR) => return Ok(()),
@@ -146,6 +149,10 @@
             for event in self.events.iter().take(count) {
                 let (id, flags) = (ConnId(event.data()), event.events());
                 let Some(wire) = self.wires.get_mut(&id) else { continue };
+                // What it tells now it would have told then, had it been there.
+                if wire.told.is_none() && !wire.unread {
+                    wire.quiet_until = wire.quiet_until.max(self.polled_at);
+                }
                 let over = EpollFlags::EPOLLERR | EpollFlags::EPOLLHUP;
                 let before = wire.told.unwrap_or_default();
                 let ended = flags.intersects(over | EpollFlags::EPOLLRDHUP);
@@ -162,6 +169,7 @@
                 });
             }
             if count < self.events.len() {
+                self.polled_at = began;
                 break;
             }
         }
