--- a/crates/ladderpass/tests/room.rs
+++ b/crates/ladderpass/tests/room.rs
@@ -1,26 +1,13 @@
 //! Descriptors that are short, and starts with hundreds of members: the reducer on a machine without sockets
 //! that counts descriptors, with a clock of its own. Idle clients stand at its door without end.
-#![allow(dead_code)]
 
-#[path = "../src/buffer.rs"]
-mod buffer;
 mod common;
-#[path = "../src/discovery.rs"]
-mod discovery;
-#[path = "../src/faulty.rs"]
-mod faulty;
-#[path = "../src/launch.rs"]
-mod launch;
-#[path = "../src/limits.rs"]
-mod limits;
-#[path = "../src/pg.rs"]
-mod pg;
-#[path = "../src/reducer.rs"]
-mod reducer;
 
 use common::*;
+use ladderpass::reducer::{ConnId, Effect, Event, Reducer};
+use ladderpass::{launch, limits};
 use ladderpass_core::{Span, Time};
-use reducer::{ConnId, Effect, Event, Reducer};
+
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 const DISCOVERY: u16 = 8500;
--- a/crates/ladderpass/tests/rules.rs
+++ b/crates/ladderpass/tests/rules.rs
@@ -1,30 +1,17 @@
 //! Seeded random runs: the reducer against a small world without sockets, with the rules checked after every
 //! step; the parsers and the ring split and damaged at every byte. Then a few plain cases.
-#![allow(dead_code)]
 
-#[path = "../src/buffer.rs"]
-mod buffer;
 mod common;
-#[path = "../src/discovery.rs"]
-mod discovery;
-#[path = "../src/faulty.rs"]
-mod faulty;
-#[path = "../src/launch.rs"]
-mod launch;
-#[path = "../src/limits.rs"]
-mod limits;
-#[path = "../src/pg.rs"]
-mod pg;
-#[path = "../src/reducer.rs"]
-mod reducer;
 
-use buffer::Buffer;
 use common::*;
+use ladderpass::buffer::Buffer;
+use ladderpass::reducer::{ConnId, Effect, Event, Reducer};
+use ladderpass::{discovery, launch, pg};
 use ladderpass_core::{Span, Time};
 use ladderpass_deployment::operator;
 use ladderpass_overload::Sample;
 use quickcheck::{Gen, QuickCheck};
-use reducer::{ConnId, Effect, Event, Reducer};
+
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 /// A client: what it has sent, and what has come back.
--- a/crates/ladderpass/tests/told.rs
+++ b/crates/ladderpass/tests/told.rs
@@ -1,27 +1,14 @@
 //! A change counts as told 6 s after discovery had it and could be reached: the reducer against a discovery
 //! without sockets that goes and comes back, on a clock of its own, by every way in which a call can end.
-#![allow(dead_code)]
 
-#[path = "../src/buffer.rs"]
-mod buffer;
 mod common;
-#[path = "../src/discovery.rs"]
-mod discovery;
-#[path = "../src/faulty.rs"]
-mod faulty;
-#[path = "../src/launch.rs"]
-mod launch;
-#[path = "../src/limits.rs"]
-mod limits;
-#[path = "../src/pg.rs"]
-mod pg;
-#[path = "../src/reducer.rs"]
-mod reducer;
 
 use common::*;
+use ladderpass::launch;
+use ladderpass::reducer::{ConnId, Effect, Event, Reducer};
 use ladderpass_core::{Span, Time};
 use nanorand::{Rng, WyRand};
-use reducer::{ConnId, Effect, Event, Reducer};
+
 use std::collections::BTreeMap;
 
 /// It is 6 s that are allowed; what is left is for a process that has to wait for its turn.
