A start and a SIGHUP survive calls that fail for a moment

Seen: one epoll_ctl, epoll_create1, socket, bind, listen or open that failed at the start ended the process (sockets.rs, run; main.rs); at SIGHUP a file that could not be opened once was never read again (read_again), so that discovery's new address, told 4 s after SIGHUP, was never asked. Now the sources are opened again for up to 5 s, where the error may pass, also where the address is in use still; the files are waited for, up to 2 s at the start; at SIGHUP what can't be read, or is half written, is read again each 100 ms for 4 s.

--- a/crates/ladderpass/src/failures.rs
+++ b/crates/ladderpass/src/failures.rs
@@ -36,6 +36,13 @@
     matches!(errno(fault), Some(EMFILE | ENFILE | ENOBUFS | ENOMEM | ENOSPC | EADDRNOTAVAIL))
 }
 
+/// May an error of the start pass? Of descriptors and memory others may give some back, and an address that is in use may
+/// be that of a process that is about to end.
+pub fn passes_at_start(fault: &io::Error) -> bool {
+    let address = matches!(errno(fault), Some(Errno::EADDRNOTAVAIL));
+    !address && (is_short(fault) || is_passing(fault) || matches!(errno(fault), Some(Errno::EADDRINUSE)))
+}
+
 fn errno(fault: &io::Error) -> Option<Errno> {
     fault.raw_os_error().map(Errno::from_raw)
 }
--- a/crates/ladderpass/src/launch.rs
+++ b/crates/ladderpass/src/launch.rs
@@ -4,6 +4,7 @@
 //! It owns nothing after that. It must never keep what it has read, and no other file may read the environment.
 
 use crate::discovery::Listing;
+use crate::failures::passes_at_start;
 use crate::faulty::{self, Faulty};
 use crate::limits::Limits;
 use ladderpass_core::Span;
@@ -16,11 +17,16 @@
 use std::fmt::Write;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::path::Path;
+use std::time::{Duration, Instant};
 
 /// In place of an address that is missing or wrong, while the rest is looked through; nothing is started with
 /// it.
 const NOWHERE: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0));
 
+/// How long a start waits for files that can't be opened for a moment, and how long between two tries.
+const START_PATIENCE: Duration = Duration::from_secs(2);
+const START_REST: Duration = Duration::from_millis(10);
+
 #[derive(Debug)]
 pub struct Launch {
     pub discovery: SocketAddr,
@@ -84,6 +90,21 @@
 }
 
 impl Launch {
+    /// At the start: files that can't be opened for a moment are waited for.
+    pub fn read_at_start(
+        variable: impl Fn(&str) -> Option<String>,
+        own: Option<&Path>,
+    ) -> Result<Launch, String> {
+        let until = Instant::now() + START_PATIENCE;
+        let config = variable("RELAY_CONFIG");
+        for path in [config.as_deref().map(Path::new), own].into_iter().flatten() {
+            while std::fs::read(path).is_err_and(|fault| passes_at_start(&fault)) && Instant::now() < until {
+                std::thread::sleep(START_REST);
+            }
+        }
+        Launch::read(variable, own)
+    }
+
     /// From the variables that `variable` gives, and the file that one of them names. What is wrong is told
     /// whole, a line a fault.
     pub fn read(variable: impl Fn(&str) -> Option<String>, own: Option<&Path>) -> Result<Launch, String> {
--- a/crates/ladderpass/src/limits.rs
+++ b/crates/ladderpass/src/limits.rs
@@ -47,6 +47,10 @@
     /// A call that failed for a moment is made again after this; a loop that has failed for so long has failed for good.
     pub postponed_rest: Duration,
     pub loop_fails: Duration,
+    /// What a start could not open for a moment is tried again after this, for so long.
+    pub start_rest: Duration,
+    pub start_tries: Duration,
+    pub reread: Reread,
     /// So many connections make place for one that was denied: were it for want of something else, all would
     /// go.
     pub denials: u8,
@@ -102,6 +106,13 @@
     pub stopping: Span,
 }
 
+/// What could not be read at SIGHUP is tried again after a rest, for so long: what is told there counts after 4 s.
+#[derive(Clone, Copy, Debug)]
+pub struct Reread {
+    pub rest: Duration,
+    pub tries: Duration,
+}
+
 const VALUE: usize = 64 << 10;
 
 impl Limits {
@@ -135,6 +146,9 @@
             denied_rest: Span::from_millis(100),
             postponed_rest: Duration::from_millis(1),
             loop_fails: Duration::from_secs(10),
+            start_rest: Duration::from_millis(20),
+            start_tries: Duration::from_secs(5),
+            reread: Reread { rest: Duration::from_millis(100), tries: Duration::from_secs(4) },
             denials: 8,
             accepts: 64,
             reads: 8,
--- a/crates/ladderpass/src/main.rs
+++ b/crates/ladderpass/src/main.rs
@@ -47,7 +47,7 @@
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    let read = launch::Launch::read(|key| std::env::var(key).ok(), cli.operator.as_deref());
+    let read = launch::Launch::read_at_start(|key| std::env::var(key).ok(), cli.operator.as_deref());
     if let Some(Command::Check) = cli.command {
         return match read {
             Ok(launch) => {
--- a/crates/ladderpass/src/sockets.rs
+++ b/crates/ladderpass/src/sockets.rs
@@ -5,8 +5,9 @@
 //! is written stands in the reducer.
 
 use crate::arrival::WallClock;
-use crate::failures::{Postponed, is_passing, is_short};
+use crate::failures::{Postponed, is_passing, is_short, passes_at_start};
 use crate::launch::Launch;
+use crate::limits::Reread;
 use crate::reducer::{ConnId, Effect, Event, Reducer};
 use crate::wires::{Teller, Wire, Wires};
 use calloop::generic::Generic;
@@ -44,6 +45,12 @@
     }
 }
 
+/// When what could not be read was tried last, and until when it is.
+struct UnreadLaunch {
+    tried_at: Instant,
+    until: Instant,
+}
+
 /// What became of those that wait at the listener.
 enum Accepted {
     All,
@@ -62,6 +69,9 @@
     enabled: bool,
     /// Where the operator's file stands, if there is one.
     operator: Option<PathBuf>,
+    /// SIGHUP came, and what the router is told could not be read yet.
+    unread_launch: Option<UnreadLaunch>,
+    reread: Reread,
     looks: Looks,
     short_rest: Duration,
     /// Reads from one connection in one go; those with more to read have their next go after the others.
@@ -99,45 +109,19 @@
 
 /// Serves until it is told to stop.
 pub fn run(launch: Launch, operator: Option<PathBuf>) -> Result<(), String> {
-    let mut event_loop: EventLoop<'static, Front> =
-        EventLoop::try_new().map_err(|fault| format!("event loop: {fault}"))?;
+    let Sources { mut event_loop, wires, listener, token, peers } = open_patiently(&launch)?;
     let handle = event_loop.handle();
-    let (name, address) = (launch.fixed.name.clone(), launch.fixed.listen);
-    let (reads, backlog) = (launch.limits.reads, launch.limits.backlog);
+    let name = launch.fixed.name.clone();
+    let address = launch.fixed.listen;
+    let reads = launch.limits.reads;
     let (longest, standstill) = (launch.limits.longest_wait, launch.limits.standstill);
     let budget = launch.limits.events;
     let (allowed, told) = (launch.allowance.descriptors, launch.sockets_told);
     let short_rest = Duration::from_nanos(launch.limits.denied_rest.nanos().max(0) as u64);
     let (postponed_rest, loop_fails) = (launch.limits.postponed_rest, launch.limits.loop_fails);
-    let wires = Wires::new().map_err(|fault| format!("event loop: {fault}"))?;
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]);
-    handle
-        .insert_source(signals.map_err(|f| format!("signals: {f}"))?, |event, (), front: &mut Front| {
-            match event.signal() {
-                Signal::SIGHUP => front.read_again(),
-                _ => front.apply(Event::Terminate),
-            }
-        })
-        .map_err(|fault| format!("signals: {fault}"))?;
-    let peers = launch.operator.peers.as_ref().map(|peers| meet(&handle, peers.listen)).transpose()?;
+    let reread = launch.limits.reread;
     let clock = Clock::new(launch.clock);
     let reducer = Reducer::start(clock.now(), launch);
-    let listener = listen(address, backlog).map_err(|fault| format!("RELAY_LISTEN: {address}: {fault}"))?;
-    let listener = Rc::new(listener);
-    let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
-    let token = handle
-        .insert_source(source, |_, _, front: &mut Front| {
-            front.accept();
-            Ok(PostAction::Continue)
-        })
-        .map_err(|fault| format!("listener: {fault}"))?;
-    let source = Generic::new(wires.set(), Interest::READ, Mode::Level);
-    handle
-        .insert_source(source, |_, _, front: &mut Front| {
-            front.harvest();
-            Ok(PostAction::Continue)
-        })
-        .map_err(|fault| format!("event loop: {fault}"))?;
     if allowed < told {
         tracing::warn!("limits.sockets says {told}, and the process may open {allowed}: that holds");
     }
@@ -150,6 +134,8 @@
         listening: true,
         enabled: true,
         operator,
+        unread_launch: None,
+        reread,
         looks: Looks::new(),
         short_rest,
         reads,
@@ -216,21 +202,96 @@
     Ok(())
 }
 
+/// All that the loop waits for.
+struct Sources {
+    event_loop: EventLoop<'static, Front>,
+    wires: Wires,
+    listener: Rc<TcpListener>,
+    token: RegistrationToken,
+    /// The socket of the messages between routers.
+    peers: Option<Rc<UdpSocket>>,
+}
+
+/// What could not be opened, and why.
+struct Unopened {
+    what: String,
+    fault: io::Error,
+}
+
+/// Guards a start against calls that fail for a moment, and against an address whose last holder is about to end.
+fn open_patiently(launch: &Launch) -> Result<Sources, String> {
+    let until = Instant::now() + launch.limits.start_tries;
+    loop {
+        match open_sources(launch) {
+            Ok(sources) => return Ok(sources),
+            Err(Unopened { what, fault }) if passes_at_start(&fault) && Instant::now() < until => {
+                tracing::warn!("{what}: {fault}; tried again");
+                std::thread::sleep(launch.limits.start_rest);
+            }
+            Err(Unopened { what, fault }) => return Err(format!("{what}: {fault}")),
+        }
+    }
+}
+
+fn open_sources(launch: &Launch) -> Result<Sources, Unopened> {
+    let named = |what: &str| {
+        let what = what.to_owned();
+        move |fault: io::Error| Unopened { what, fault }
+    };
+    let event_loop: EventLoop<'static, Front> =
+        EventLoop::try_new().map_err(of_loop).map_err(named("event loop"))?;
+    let handle = event_loop.handle();
+    let wires = Wires::new().map_err(named("event loop"))?;
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]);
+    let signals = signals.map_err(of_loop).map_err(named("signals"))?;
+    let inserted = handle.insert_source(signals, |event, (), front: &mut Front| match event.signal() {
+        Signal::SIGHUP => front.read_again(),
+        _ => front.apply(Event::Terminate),
+    });
+    inserted.map_err(|fault| of_loop(fault.error)).map_err(named("signals"))?;
+    let peers = launch.operator.peers.as_ref().map(|peers| open_peers(&handle, peers.listen)).transpose()?;
+    let address = launch.fixed.listen;
+    let listener =
+        listen(address, launch.limits.backlog).map_err(named(&format!("RELAY_LISTEN: {address}")))?;
+    let listener = Rc::new(listener);
+    let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
+    let inserted = handle.insert_source(source, |_, _, front: &mut Front| {
+        front.accept();
+        Ok(PostAction::Continue)
+    });
+    let token = inserted.map_err(|fault| of_loop(fault.error)).map_err(named("listener"))?;
+    let source = Generic::new(wires.set(), Interest::READ, Mode::Level);
+    let inserted = handle.insert_source(source, |_, _, front: &mut Front| {
+        front.harvest();
+        Ok(PostAction::Continue)
+    });
+    inserted.map_err(|fault| of_loop(fault.error)).map_err(named("event loop"))?;
+    Ok(Sources { event_loop, wires, listener, token, peers })
+}
+
 /// Opens the socket of the messages between routers.
-fn meet(handle: &LoopHandle<'static, Front>, own: SocketAddr) -> Result<Rc<UdpSocket>, String> {
-    let open = || -> io::Result<UdpSocket> {
+fn open_peers(handle: &LoopHandle<'static, Front>, own: SocketAddr) -> Result<Rc<UdpSocket>, Unopened> {
+    let open = || -> io::Result<Rc<UdpSocket>> {
         let socket = UdpSocket::bind(own)?;
         socket.set_nonblocking(true)?;
+        let socket = Rc::new(socket);
+        let source = Generic::new(socket.clone(), Interest::READ, Mode::Level);
+        let inserted = handle.insert_source(source, |_, _, front: &mut Front| {
+            front.hear_peers();
+            Ok(PostAction::Continue)
+        });
+        inserted.map_err(|fault| of_loop(fault.error))?;
         Ok(socket)
     };
-    let socket = Rc::new(open().map_err(|fault| format!("peers.listen: {own}: {fault}"))?);
-    let source = Generic::new(socket.clone(), Interest::READ, Mode::Level);
-    let done = handle.insert_source(source, |_, _, front: &mut Front| {
-        front.hear_peers();
-        Ok(PostAction::Continue)
-    });
-    done.map_err(|fault| format!("peers: {fault}"))?;
-    Ok(socket)
+    open().map_err(|fault| Unopened { what: format!("peers.listen: {own}"), fault })
+}
+
+/// The system's own error, where the loop hands one on.
+fn of_loop(fault: calloop::Error) -> io::Error {
+    match fault {
+        calloop::Error::IoError(fault) => fault,
+        other => io::Error::other(other),
+    }
 }
 
 fn listen(address: SocketAddr, backlog: i32) -> io::Result<TcpListener> {
@@ -305,12 +366,32 @@
         }
     }
 
-    /// What the router is told may have changed. A bad or half-written file changes nothing: the old one stays.
+    /// What the router is told may have changed. A bad or half-written file changes nothing: the old one stays. It is
+    /// read again for a while, as it may be half written now, or the system short of something.
     fn read_again(&mut self) {
+        let now = Instant::now();
+        self.unread_launch = None;
         match Launch::read(|key| std::env::var(key).ok(), self.operator.as_deref()) {
             Ok(launch) => self.apply(Event::Told(Box::new(launch))),
             Err(faults) => {
                 faults.lines().for_each(|fault| tracing::error!("told anew, kept as it was: {fault}"));
+                self.unread_launch = Some(UnreadLaunch { tried_at: now, until: now + self.reread.tries });
+            }
+        }
+    }
+
+    /// Tries once more what could not be read; its faults were told.
+    fn read_once_more(&mut self) {
+        let now = Instant::now();
+        let Some(unread) = &mut self.unread_launch else { return };
+        if now >= unread.until {
+            self.unread_launch = None;
+        } else if now - unread.tried_at >= self.reread.rest {
+            unread.tried_at = now;
+            let read = Launch::read(|key| std::env::var(key).ok(), self.operator.as_deref());
+            if let Ok(launch) = read {
+                self.unread_launch = None;
+                self.apply(Event::Told(Box::new(launch)));
             }
         }
     }
@@ -344,6 +425,7 @@
         if self.short.is_some_and(|since| since.elapsed() >= self.short_rest) {
             self.short = None;
         }
+        self.read_once_more();
         // Here too as the call that does it may have failed.
         self.enable_listener(self.listening && self.short.is_none());
         self.carry_out();
--- a/crates/ladderpass/tests/failing/mod.rs
+++ b/crates/ladderpass/tests/failing/mod.rs
@@ -113,7 +113,7 @@
         }
         let log = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false);
         log.with_max_level(tracing::Level::WARN).init();
-        let launch = Launch::read(|key| std::env::var(key).ok(), None);
+        let launch = Launch::read_at_start(|key| std::env::var(key).ok(), None);
         launch.and_then(|launch| ladderpass::sockets::run(launch, None))
     });
     let done = done.join().expect("the router does not panic");
