Repeats, long statements and stops keep to their time at the extremes

Seen, each over real connections or against the reducer: a tokened repeat that waited for its connection went out past its window (members.rs, send, looked at bounded reads alone); a statement of which the socket took a part told the time left when it was begun, however late the rest went out (nothing looked at it before the client's time was over); RPCs were begun up to 10 s after SIGTERM (limits.stopping), though SIGKILL comes as early as the longest deadline and 0.7 s, and from then on whole statements that had been read were closed on unanswered (look_at_client); who had opened nothing was kept for 2 s. Now such a repeat is decided anew; what the socket does not take whole in 100 ms (a bounded read: in a tick) is taken back; from 0.6 s after SIGTERM statements are answered 57P03 at once, and who rests or has opened nothing is closed after one more read. Refusals of the front name a time to come back, by the core's word.

--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -353,13 +353,16 @@
             Effect::NonIdempotent => state.risked.is_none(),
         };
         let over = now + row.usual >= self.wanted_by(rpc) || state.failed.len() >= ERRORS;
-        let longest = self.deployment.longest_come_back;
-        let part = COME_BACK * (0.5 + self.chance.generate::<f64>());
-        let come_back = if over { longest } else { longest * part };
+        let come_back = if over { self.deployment.longest_come_back } else { self.come_back() };
         self.rpcs.close(rpc);
         if harmless { Decision::PushBack { come_back } } else { Decision::Abort }
     }
 
+    /// When a client that is refused may come back, spread by chance: also one whose RPC was never taken.
+    pub fn come_back(&mut self) -> Span {
+        self.deployment.longest_come_back * (COME_BACK * (0.5 + self.chance.generate::<f64>()))
+    }
+
     /// When an answer stops earning anything.
     fn wanted_by(&self, rpc: Rpc) -> Time {
         self.row(rpc).wanted_by(self.rpcs[rpc].taken, self.rpcs[rpc].arrival.due)
--- a/crates/ladderpass/src/limits.rs
+++ b/crates/ladderpass/src/limits.rs
@@ -68,8 +68,11 @@
     pub probe: Span,
     /// A pooled connection is closed once it was idle for this long, some way before the member does so.
     pub idle: Span,
-    /// A read with a bound on its data's age that waited longer than this for its connection is decided anew.
+    /// A read with a bound on its data's age, or a repeat that only a window allows, that waited longer than this to be
+    /// sent is decided anew.
     pub sent_within: Span,
+    /// Any other is out whole within this: it tells the member what time is left.
+    pub written_within: Span,
     /// What the router itself needs to write an answer before the client's time is up.
     pub answer: Span,
     /// Clients: for the first message, and for the rest of a message that has begun; and to read an answer.
@@ -99,11 +102,9 @@
     pub standstill: Duration,
     /// After SIGTERM an idle connection of a client is closed once it has rested for so long.
     pub stopping_rest: Span,
-    /// After SIGTERM new connections are taken for so long.
+    /// After SIGTERM new connections are taken for so long, and RPCs begun: SIGKILL may come as early as the longest
+    /// deadline and 0.7 s after it. The process ends once what it owes is answered, however long the clients' time is.
     pub still_accepting: Span,
-    /// After SIGTERM nothing new is begun from here on; the process ends once what it owes is answered, however long
-    /// the clients' time is.
-    pub stopping: Span,
 }
 
 /// What could not be read at SIGHUP is tried again after a rest, for so long: what is told there counts after 4 s.
@@ -160,6 +161,7 @@
             probe: facts.connect_within.unwrap_or(Span::from_millis(1000)),
             idle: facts.idle_for.map_or(Span::from_millis(10_000), |idle| idle * 0.8),
             sent_within: facts.deployment.tick,
+            written_within: Span::from_millis(100),
             answer: Span::from_millis(4),
             message: Span::from_millis(2000),
             unread: Span::from_millis(10_000),
@@ -175,7 +177,6 @@
             standstill: Duration::from_millis(100),
             stopping_rest: Span::from_millis(200),
             still_accepting: Span::from_millis(600),
-            stopping: Span::from_millis(10_000),
         }
     }
 }
--- a/crates/ladderpass/src/reducer.rs
+++ b/crates/ladderpass/src/reducer.rs
@@ -166,6 +166,8 @@
     /// wrote), and does it write?
     bounded: Vec<bool>,
     writes: Vec<bool>,
+    /// By method: may it be repeated within a window alone?
+    tokened: Vec<bool>,
     /// Names of the values in a load report.
     columns: Vec<String>,
     ids: Ids,
@@ -248,8 +250,10 @@
         let mut zones = Names::default();
         zones.intern(launch.operator.zone.as_deref().unwrap_or_default());
         let is_bounded = |method: &Method| matches!(method.level, Level::Bounded(_) | Level::Session);
+        let is_tokened = |method: &Method| matches!(method.effect, ladderpass_core::Effect::Tokened { .. });
         let mut reducer = Reducer {
             bounded: facts.deployment.methods.iter().map(is_bounded).collect(),
+            tokened: facts.deployment.methods.iter().map(is_tokened).collect(),
             writes: facts.deployment.methods.iter().map(|method| method.level == Level::Write).collect(),
             columns: facts.columns,
             ids: Ids::default(),
@@ -422,7 +426,10 @@
             Event::Written(id, count) => self.written(now, id, count),
             Event::Closed(id) => self.closed(now, id),
             Event::Denied(id) => self.denied(now, id),
-            Event::Stuck(id) => self.stuck(now, id),
+            Event::Stuck(id) => {
+                self.link_is_stuck(id);
+                self.stuck(now, id);
+            }
             Event::Looked(sample) => self.looked(now, sample),
             Event::Worked(busy, waiting) => self.worked(now, busy, waiting),
             Event::Deaf => self.deaf = true,
@@ -676,12 +683,14 @@
         conn.output.consume(count);
         conn.output.shrink(start);
         let (done, closing) = (conn.output.is_empty(), conn.closing);
+        let mut out_until = None;
         match &mut conn.peer {
             Peer::Member(link) if link.unwritten > 0 => {
                 link.unsent &= count == 0;
                 link.unwritten = link.unwritten.saturating_sub(count);
                 if link.unwritten == 0 {
                     link.own += now - link.asked;
+                    out_until = Some(link.until);
                 }
             }
             // Its next statement is looked at in the next turn: what was written may show that it has left.
@@ -689,6 +698,9 @@
             _ => {}
         }
         let client = matches!(conn.peer, Peer::Client(_));
+        if out_until.is_some() {
+            self.set_deadline(id, out_until);
+        }
         self.recount(id);
         if client {
             self.took_some(now, id, done);
@@ -835,22 +847,20 @@
         if !self.deaf && now - since >= self.limits.still_accepting {
             self.effects.push(Effect::StopListening);
         }
-        // Guards what is owed to clients with more time than that: only who is owed nothing is closed.
+        // Guards what is owed to clients with more time than that: only who is owed nothing is closed. Who is in the middle
+        // of a message has its time to end it, and is told no.
         if self.is_ending(now) {
-            let owed = |conn: &Conn| match &conn.peer {
-                Peer::Client(client) => matches!(client.phase, Phase::Busy(_)) || conn.closing,
-                _ => true,
-            };
-            let mut rest: Vec<ConnId> =
-                self.conns.iter().filter(|(_, conn)| !owed(conn)).map(|(&id, _)| id).collect();
-            rest.sort();
-            rest.into_iter().for_each(|id| self.close_client(now, id));
+            let [opening, _, idle] = &self.waiting;
+            let nothing_sent = |id: &ConnId| self.conns.get(id).is_some_and(|conn| conn.input.is_empty());
+            let rest: Vec<ConnId> =
+                opening.iter().chain(idle).map(|&(_, id)| id).filter(nothing_sent).collect();
+            rest.into_iter().for_each(|id| self.part_with(id));
         }
     }
 
     /// It has been stopping for so long that nothing new is begun.
     fn is_ending(&self, now: Time) -> bool {
-        self.stopping.is_some_and(|since| now - since >= self.limits.stopping)
+        self.stopping.is_some_and(|since| now - since >= self.limits.still_accepting)
     }
 }
 
--- a/crates/ladderpass/src/reducer/clients.rs
+++ b/crates/ladderpass/src/reducer/clients.rs
@@ -302,8 +302,8 @@
 
     /// Reads what a client has sent, up to its next RPC.
     pub(super) fn look_at_client(&mut self, now: Time, id: ConnId) {
-        // Guards the others against one that has sent hundreds of statements at once.
         let ending = self.is_ending(now);
+        // Guards the others against one that has sent hundreds of statements at once.
         for _ in 0..self.limits.statements {
             let Some(conn) = self.conns.get_mut(&id) else { return };
             let Peer::Client(client) = &mut conn.peer else { return };
@@ -319,10 +319,6 @@
                 let deadline = conn.deadline.or(Some(now + self.limits.unread));
                 return self.set_deadline(id, deadline);
             }
-            // Guards the end of a stop against one that sends without end.
-            if ending {
-                return self.close_client(now, id);
-            }
             let mut out = Vec::new();
             let (mut close, mut fault) = (false, None);
             let used = if client.phase == Phase::Opening {
@@ -371,12 +367,17 @@
                                 pg::put(&mut out, b'I', &[]);
                                 pg::put_ready(&mut out);
                             }
+                            // Guards what SIGKILL would find unanswered: nothing is begun that late.
+                            (b'Q', Ok(_)) if ending => {
+                                self.refuse(now, id, length, Refusal::Stopping);
+                                continue;
+                            }
                             // Guards members against statements of a client that has left, where its end can't be
                             // seen: what it sent past its room is read and answered at once, up to its end. Harms
                             // one that stays and sends this much ahead.
                             (b'Q', Ok(_)) if conn.paused => {
                                 self.tally.full += 1;
-                                self.refuse(now, id, length, false, "53300", "too much is sent ahead");
+                                self.refuse(now, id, length, Refusal::SentAhead);
                                 continue;
                             }
                             (b'Q', Ok(_)) if conn.unread => {
@@ -585,11 +586,11 @@
         if surplus {
             self.tally.crowded += 1;
             // Told at once, so that it does not wait unanswered at the listener.
-            return self.refuse(now, id, length, true, "53300", "too many connections");
+            return self.refuse(now, id, length, Refusal::Crowded);
         }
         if self.calls.len() >= self.limits.most_held {
             self.tally.full += 1;
-            return self.refuse(now, id, length, false, "53300", "too many RPCs are held");
+            return self.refuse(now, id, length, Refusal::Full);
         }
         self.tally.taken += 1;
         self.figured.taken += 1;
@@ -648,13 +649,26 @@
         self.scratch = out;
     }
 
+    /// Pushes back a statement that is not taken as an RPC, and names a time to come back.
+    fn refuse(&mut self, now: Time, id: ConnId, length: usize, refusal: Refusal) {
+        let (fatal, code, text) = match refusal {
+            Refusal::Stopping => (false, "57P03", "the router stops"),
+            Refusal::SentAhead => (false, "53300", "too much is sent ahead"),
+            Refusal::Full => (false, "53300", "too many RPCs are held"),
+            Refusal::Crowded => (true, "53300", "too many connections"),
+        };
+        let retry_after = after(self.router.come_back());
+        self.answer_error(now, id, length, ErrorAnswer { fatal, code, text, retry_after });
+    }
+
     /// Answers a statement that is not taken as an RPC; a fatal answer closes in step.
-    fn refuse(&mut self, now: Time, id: ConnId, length: usize, fatal: bool, code: &str, text: &str) {
+    fn answer_error(&mut self, now: Time, id: ConnId, length: usize, answer: ErrorAnswer<'_>) {
+        let ErrorAnswer { fatal, code, text, retry_after } = answer;
         let mut out = Vec::new();
         if fatal {
-            pg::put_error(&mut out, "FATAL", code, text, None);
+            pg::put_error(&mut out, "FATAL", code, text, retry_after);
         } else {
-            pg::put_refusal(&mut out, code, text, None);
+            pg::put_refusal(&mut out, code, text, retry_after);
         }
         self.used(id, length);
         self.write(id, &out);
@@ -672,7 +686,7 @@
         client.resting = !last;
         let rest = self.limits.fault_rest * f64::from(1u32 << (client.faults - 1).min(8));
         self.tally.faults += 1;
-        self.refuse(now, id, length, last, code, text);
+        self.answer_error(now, id, length, ErrorAnswer { fatal: last, code, text, retry_after: None });
         if !last {
             self.wait_for(id, Some((Waiting::Begun, now)));
             self.set_deadline(id, Some(now + rest));
@@ -690,6 +704,23 @@
     }
 }
 
+/// Why a statement is not taken: none of it has an effect, and its client may try again.
+#[derive(Clone, Copy, Debug)]
+enum Refusal {
+    Stopping,
+    SentAhead,
+    Full,
+    Crowded,
+}
+
+/// An ErrorResponse to a statement; the time to come back in milliseconds.
+struct ErrorAnswer<'a> {
+    fatal: bool,
+    code: &'a str,
+    text: &'a str,
+    retry_after: Option<i64>,
+}
+
 impl Ids {
     pub(super) fn hash(&self, id: &str) -> u64 {
         std::hash::BuildHasher::hash_one(&self.key, id)
--- a/crates/ladderpass/src/reducer/members.rs
+++ b/crates/ladderpass/src/reducer/members.rs
@@ -157,8 +157,11 @@
             Some(Job::Probe) => pg::put_query(&mut query, &[LOAD]),
             Some(Job::Call(rpc)) => {
                 let Some(call) = self.calls.get(&rpc) else { return };
-                // Guards against a stale read: what was fresh enough when it was decided may not be so any more.
-                if call.bounded && waited > self.limits.sent_within {
+                // Guards against a stale read: what was fresh enough when it was decided may not be so any more. And against a
+                // second effect: repeats that were dropped then may not be any more.
+                let repeats =
+                    call.may_have_run && self.tokened.get(call.method as usize).copied().unwrap_or(false);
+                if (call.bounded || repeats) && waited > self.limits.sent_within {
                     return self.release(now, id, Ended::Absent);
                 }
                 let client = call.client.and_then(|client| self.conns.get_mut(&client));
@@ -210,6 +213,22 @@
         self.job_ended(now, job, outcome, Report::default());
     }
 
+    /// The socket takes no more of its query. Guards against a member that reads late: what it was to be told of the time
+    /// that is left, and of data that are fresh enough, would not hold any more.
+    pub(super) fn link_is_stuck(&mut self, id: ConnId) {
+        let Some(Conn { peer: Peer::Member(link), .. }) = self.conns.get(&id) else { return };
+        if !link.up || link.unwritten == 0 {
+            return;
+        }
+        let bounded = match link.job {
+            Some(Job::Call(rpc)) => self.calls.get(&rpc).is_some_and(|call| call.bounded),
+            _ => false,
+        };
+        let within = if bounded { self.limits.sent_within } else { self.limits.written_within };
+        let deadline = link.until.min(link.asked + within);
+        self.set_deadline(id, Some(deadline));
+    }
+
     /// Its query is out whole: it may run.
     pub(super) fn is_sent(&self, id: ConnId) -> bool {
         matches!(self.conns.get(&id).map(|conn| &conn.peer), Some(Peer::Member(link)) if link.up && link.unwritten == 0)
--- a/crates/ladderpass/tests/rules.rs
+++ b/crates/ladderpass/tests/rules.rs
@@ -867,6 +867,37 @@
     }
 }
 
+/// The socket to a member takes a part of a statement, or none, and no more: what the statement tells of the time that is
+/// left, and a read's data being fresh enough, must hold when its last byte is written. So it is taken back in time.
+#[test]
+fn what_a_socket_does_not_take_in_time_is_taken_back() {
+    for (method, within) in [("write", 100), ("read", 5)] {
+        for written in [0, 10] {
+            let (mut world, client, link) = one_call(method);
+            let position = world.now.nanos() as u64 / 1_000_000;
+            world.hand(link, &[row(b"7", "leader", position), nothing()].concat());
+            world.write(client);
+            world.clients.get_mut(&client).expect("it is there").junk = true;
+            let bytes = query(&statement("8", method, 2000, "1"));
+            world.reducer.room(client)[..bytes.len()].copy_from_slice(&bytes);
+            // Nobody carries out what the reducer asks for.
+            for event in [Event::Received(client, bytes.len(), Span::ZERO), Event::Turn] {
+                world.reducer.apply(world.now, event);
+            }
+            let has_it =
+                |&&id: &&ConnId| String::from_utf8_lossy(world.reducer.outgoing(id)).contains("id=8,");
+            let Some(&link) = world.peers.keys().find(has_it) else { panic!("{method}: it is not sent") };
+            if written > 0 {
+                world.reducer.apply(world.now, Event::Written(link, written));
+            }
+            world.reducer.apply(world.now, Event::Stuck(link));
+            let late = world.now + Span::from_millis(within + 1);
+            let effects = world.reducer.apply(late, Event::Turn);
+            assert!(effects.contains(&Effect::Close(link)), "{method}, {written} written: {effects:?}");
+        }
+    }
+}
+
 /// The answers that a client has, by the types of their frames and the code of an error.
 fn answers_of(world: &World, client: ConnId) -> Vec<(Vec<u8>, String)> {
     let found = frames(&world.clients[&client].inbox).0;
