A start with a wrong clock serves nothing stale and pushes no cold member over

Seen: Clock::new reads the wall clock once, and bounds on a read's age, times of start and a session's last write hung on it: 0.5 s behind, reads 2.1 s old were served where 2 s are allowed; 4 s ahead, a cold member got 818 RPCs where it bears 760; a last write ahead of the clock was taken for the present (clients.rs, last_write), so that replicas short of it served its session. Now positions tell how far the clock may be off (reference_clock.rs, without a clock of its own, in policy): one ahead of it asks for fresher data at once, three that agree for good; the newest shows how far it can be ahead, by which cold members are taken for colder, and until one is told by any time. A last write is held against positions alone; nothing starts in the future. A probe that had no descriptor is no miss: it is made again after 0.5 s. Tests wall_clock, reference_clock, rules::a_session_sees_its_write_though_the_clock_is_behind (fails without the line), exceptions::probes_that_were_never_made_leave_nobody_out. An error leads to fresher data and a slower start.

--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -3,6 +3,7 @@
 //! `tend` follows each batch of calls. Types at the door are in `interface.rs`; the clock is what `now` says.
 
 use crate::interface::*;
+use crate::reference_clock::ClockDifference;
 use crate::ring::Ring;
 use crate::state::{Fleet, Member, Row, Sessions, Slots};
 use crate::time::{Span, Time};
@@ -124,6 +125,8 @@
     /// What the next `tend` says.
     upkeep: Upkeep,
     least_bound: Span,
+    /// How far the clock that `now` goes by may differ from the one that positions are read from.
+    clock: ClockDifference,
 }
 
 impl Router {
@@ -145,9 +148,20 @@
             sessions: Sessions::default(),
             ask_failures: 0,
             upkeep: Upkeep::default(),
+            clock: ClockDifference::default(),
         }
     }
 
+    /// Guards against stale reads, and cold members, where a router started while its clock was stepped.
+    pub fn clock_differs(&mut self, by: ClockDifference) {
+        self.clock = by;
+    }
+
+    /// What the members' clock shows now, at the latest.
+    fn present(&self, now: Time) -> Time {
+        now + self.clock.behind
+    }
+
     /// Takes an RPC: from here on it is owed one final answer.
     pub fn take(&mut self, now: Time, arrival: Arrival) -> (Rpc, Decision) {
         let age = arrival.last_write.filter(|_| self.deployment.carried);
@@ -217,8 +231,11 @@
         let primary_only = matches!(level, Level::Fresh | Level::Write);
         let needs = match level {
             // A front may take a tick until its last byte is sent, from which the bound counts.
-            Level::Bounded(bound) => now + self.deployment.tick - bound,
-            Level::Session => state.written.max(self.sessions.written(state.arrival.session, now - KNOWN)),
+            Level::Bounded(bound) => self.present(now) + self.deployment.tick - bound,
+            Level::Session => {
+                let known = now - KNOWN;
+                state.written.max(self.sessions.written(state.arrival.session, known, self.present(known)))
+            }
             _ => Time::NEVER,
         };
         // The filter and the pick: fewest in flight among the replicas that pass, ties in turn.
@@ -408,7 +425,7 @@
         if any && now - member.moved_at > STANDS {
             return 1.0;
         }
-        let bound = if any { self.least_bound } else { now - needs };
+        let bound = if any { self.least_bound } else { self.present(now) - needs };
         let part = member.lag.map_or(0.0, |lag| lag.secs() / bound.secs().max(1e-6));
         (HEADROOM - part).clamp(0.1, 1.0)
     }
@@ -500,7 +517,7 @@
     /// The part of its capacity that a cold member is sure to have; None once it is warm.
     fn ramp(&self, now: Time, member: &Member) -> Option<f64> {
         let within = self.deployment.warm_within.secs();
-        let age = (now - member.cold_from?).secs().max(0.0);
+        let age = (now - member.cold_from? - self.clock.ahead).secs().max(0.0);
         let from = self.deployment.cold_from;
         (age < within).then(|| from + (1.0 - from) * age / within)
     }
@@ -553,13 +570,14 @@
         let subtle = self.deployment.soft_removal && entry.standing == Standing::Off;
         let told = self.deployment.role_in_list;
         let role_told = told == RoleInList::Late || told == RoleInList::Start && now == self.started;
+        let present = self.present(now);
         let member = self.fleet.member_mut(index);
         member.listed(entry);
         if !subtle {
             member.stands(now, entry.standing);
         }
         member.cold_from = member.cold_from.max(entry.born);
-        let recent = now - member.replica_at < LIST_LAG;
+        let recent = present - member.replica_at < LIST_LAG;
         member.named = entry.primary && role_told && !recent;
     }
 
@@ -604,12 +622,19 @@
             // It is there, but has more probes than it takes, or nothing to report yet: no news of it.
             Ended::Ok | Ended::Overloaded => return self.answered(now, index),
             Ended::Broken => return self.ask(now, index), // its connection broke, or the answer was spoilt
+            // It was never made, as this router has no descriptor for it: that tells nothing of the member.
+            Ended::Void => {
+                let member = self.fleet.member_mut(index);
+                member.probe_at = now + PROBE_MISSED;
+                self.probes_at = self.probes_at.min(member.probe_at);
+                return;
+            }
             _ => return self.missed(now, index, false),
         }
         let group = self.fleet.member(index).group;
         self.fleet.groups[group].heard = true;
         if let Some(position) = report.position {
-            let age = now - position;
+            let age = self.present(now) - position;
             self.fleet.member_mut(index).reported(age, report.holds);
             if self.deployment.peers {
                 self.regulate(now, index);
@@ -622,13 +647,14 @@
             let word = if report.primary == Some(true) { Word::Primary } else { Word::Replica };
             self.share(now, index, word, position, 0.0);
         }
+        let asked_at = self.present(now) - took;
         let member = self.fleet.member_mut(index);
         member.told_at = now;
         match (report.primary, report.position) {
             // A position never goes back: one from before the claim is an old report, not a change of role.
-            (Some(true), at) => self.shown(now, index, Role::Primary, at.unwrap_or(now - took)),
+            (Some(true), at) => self.shown(now, index, Role::Primary, at.unwrap_or(asked_at)),
             (Some(false), at) if at.is_none_or(|at| at >= self.fleet.member(index).claim) => {
-                self.shown(now, index, Role::Replica, at.unwrap_or(now - took));
+                self.shown(now, index, Role::Replica, at.unwrap_or(asked_at));
             }
             _ => {}
         }
@@ -638,13 +664,14 @@
     /// A member that no list has named stays unknown.
     pub fn told(&mut self, now: Time, news: News) {
         let index = news.member.0 as usize;
-        if !self.fleet.knows(news.member) || news.at > now {
+        let present = self.present(now);
+        if !self.fleet.knows(news.member) || news.at > present {
             return;
         }
         let member = self.fleet.member_mut(index);
         let Some(role) = member.heard_of(now, &news) else {
             // It counts as one miss, where it is not a word of old and this router has heard nothing since.
-            if news.near && now - news.at < LONG_GONE && member.silent_from < news.at {
+            if news.near && present - news.at < LONG_GONE && member.silent_from < news.at {
                 self.missed(now, index, true);
             }
             return;
@@ -677,6 +704,7 @@
 
     fn told_position(&mut self, now: Time, index: usize, position: Time) {
         let every = self.probe_span(now, index);
+        let present = self.present(now);
         let member = self.fleet.member_mut(index);
         if position > member.position {
             (member.position, member.moved_at) = (position, now);
@@ -684,7 +712,7 @@
         member.told_at = now;
         // An answer that has just told its position saves a probe.
         member.probe_at = member.probe_at.max(now + every);
-        member.lag = member.lag.map(|lag| lag.min(now - member.position));
+        member.lag = member.lag.map(|lag| lag.min(present - member.position));
     }
 
     /// It is there: a member that comes back after a long absence is taken for one that has started anew.
@@ -699,6 +727,7 @@
 
     fn missed(&mut self, now: Time, index: usize, heard: bool) {
         let most = if self.deployment.peers { self.probe_every(now) } else { Span::ZERO };
+        let present = self.present(now);
         let member = self.fleet.member_mut(index);
         member.miss_from = if member.misses == 0 { now } else { member.miss_from };
         member.misses += 1;
@@ -710,7 +739,7 @@
         }
         if self.deployment.peers && !heard && now - member.lost_at >= LONG_GONE {
             member.lost_at = now;
-            self.upkeep.tell.push(News::of(member.id, Word::Lost, now));
+            self.upkeep.tell.push(News::of(member.id, Word::Lost, present));
         }
         if self.fleet.member(index).misses == MISSES_TO_DROP {
             self.upkeep.notes.push(format!("#{index} is left out: {MISSES_TO_DROP} misses in a row"));
@@ -898,18 +927,20 @@
         }
         let commit = outcome.ended == Ended::Ok && level == Level::Write;
         // No position is told where the answer broke off: what may have run is committed by now.
-        let at = outcome.position.filter(|_| commit).unwrap_or(now + self.deployment.tick);
+        let present = self.present(now);
+        let at = outcome.position.filter(|_| commit).unwrap_or(present + self.deployment.tick);
         let writer = self.rows[arrival.method as usize].writer(arrival.session);
         self.sessions.wrote(writer, sent, Some(at).filter(|_| !outcome.ended.never_ran()));
         if let Some(position) = outcome.position.filter(|_| !commit) {
-            self.fleet.member_mut(index).lag = Some(now - position);
+            self.fleet.member_mut(index).lag = Some(present - position);
             self.told_position(now, index, position);
             if outcome.role == Some(Role::Replica) {
                 self.share(now, index, Word::Replica, position, stretch);
             }
         }
         if let Some(role) = outcome.role {
-            let at = if role == Role::Primary { outcome.position.unwrap_or(now - outcome.took) } else { now };
+            let claimed = outcome.position.unwrap_or(present - outcome.took);
+            let at = if role == Role::Primary { claimed } else { present };
             self.shown(now, index, role, at);
         }
     }
--- a/crates/ladderpass-core/src/state.rs
+++ b/crates/ladderpass-core/src/state.rs
@@ -194,12 +194,12 @@
     /// What a read of the session must see. Guards against a stale read where a write's answer is lost or late on
     /// the way: one that is out since before `known` may be committed by then. Harms reads behind slow writes. One
     /// that has written nothing takes any member that has told how far it is.
-    pub fn written(&self, session: Option<u32>, known: Time) -> Time {
+    pub fn written(&self, session: Option<u32>, known: Time, commit_by: Time) -> Time {
         let any = Time::NEVER + Span::from_nanos(1);
         let Some(session) = session else { return any };
         let commit = self.commits.get(session as usize).copied().unwrap_or(any).max(any);
         let mut before = self.out.iter().take_while(|&&(_, sent)| sent <= known);
-        if before.any(|&(of, _)| of == session) { commit.max(known) } else { commit }
+        if before.any(|&(of, _)| of == session) { commit.max(commit_by) } else { commit }
     }
 
     /// A write of the session goes out.
--- a/crates/ladderpass/src/reducer.rs
+++ b/crates/ladderpass/src/reducer.rs
@@ -11,6 +11,7 @@
 use crate::launch::{Fixed, Launch};
 use crate::limits::Limits;
 use crate::pg;
+use ladderpass_core::reference_clock::ReferenceClock;
 use ladderpass_core::{
     Arrival, Decision, Ended, Entry, Level, ListNews, MemberId, Method, Outcome, Report, Role, Router, Rpc,
     Span, Standing, Time,
@@ -160,6 +161,8 @@
 
 pub struct Reducer {
     router: Router,
+    /// How far its clock differs from the members'.
+    reference_clock: ReferenceClock,
     limits: Limits,
     methods: HashMap<String, u32, foldhash::fast::RandomState>,
     /// By method: must its data be as new at the send as it was decided (a bound on its age, or what its session
@@ -260,6 +263,7 @@
             keys: Keys::default(),
             session_methods: facts.deployment.methods.iter().any(|m| m.level == Level::Session),
             carried: facts.deployment.carried,
+            reference_clock: ReferenceClock::new(facts.deployment.probes && facts.deployment.probes_tell),
             router: Router::start(now, launch.seed, facts.deployment),
             limits: launch.limits,
             methods: facts.methods.into_iter().zip(0..).collect(),
@@ -309,6 +313,7 @@
             effects: Vec::new(),
             tally: Tally { told_at: now, ..Tally::default() },
         };
+        reducer.router.clock_differs(reducer.reference_clock.difference(now));
         if let Err(fault) = reducer.listed(now, &launch.known, true, false) {
             tracing::warn!("known: {fault}; started without a list");
         }
@@ -476,6 +481,7 @@
             self.keep_stopping(now, since);
         }
         self.tend_peers(now);
+        self.router.clock_differs(self.reference_clock.difference(now));
         let upkeep = self.router.tend(now);
         for (rpc, decision) in upkeep.decisions {
             self.carry_out(now, rpc, decision);
--- a/crates/ladderpass/src/reducer/calls.rs
+++ b/crates/ladderpass/src/reducer/calls.rs
@@ -84,7 +84,26 @@
         }
     }
 
-    pub(super) fn job_ended(&mut self, now: Time, job: Job, outcome: Outcome, report: Report) {
+    /// Guards against stale reads and a primary that never changes again: no member can be past the present, by what
+    /// clocks may differ in; what says so, or is before all time, is no news.
+    fn plausible(&mut self, now: Time, position: Time) -> Option<Time> {
+        if position.nanos() <= 0 {
+            return None;
+        }
+        self.reference_clock.told(now, position);
+        let difference = self.reference_clock.difference(now);
+        self.router.clock_differs(difference);
+        Some(position).filter(|&position| position <= now + difference.behind + self.limits.ahead)
+    }
+
+    pub(super) fn job_ended(&mut self, now: Time, job: Job, mut outcome: Outcome, mut report: Report) {
+        outcome.position = outcome.position.and_then(|position| self.plausible(now, position));
+        // Guards against a member that has made no report yet: all it says is zero, its role too.
+        if let Some(position) = report.position
+            && self.plausible(now, position).is_none()
+        {
+            report = Report::default();
+        }
         match job {
             Job::Fence => {}
             Job::Probe => {
--- a/crates/ladderpass/src/reducer/clients.rs
+++ b/crates/ladderpass/src/reducer/clients.rs
@@ -535,8 +535,8 @@
             let due = came.map_or(now - self.behind, |(came, _)| came) + wait;
             let late = self.faulty.is(Faulty::AnswersLate);
             let due = if late { due + Span::from_millis(1000) } else { due };
-            let last_write =
-                comment.after_ms.filter(|&ms| ms > 0.0).map(|ms| (now - moment(ms)).max(Span::ZERO));
+            // One that is ahead of the clock here stays so: it is held against positions, not against the clock.
+            let last_write = comment.after_ms.filter(|&ms| ms > 0.0).map(|ms| now - moment(ms));
             let resent = comment.resent;
             let mut arrival = Arrival {
                 method,
--- a/crates/ladderpass/src/reducer/members.rs
+++ b/crates/ladderpass/src/reducer/members.rs
@@ -425,7 +425,7 @@
             match (kind, working) {
                 (b'N', _) | (b'S', false) => {}
                 (b'S', true) => match pg::parameter(body) {
-                    Ok((name, value)) => link.answer.parameter(&name, &value, now + self.limits.ahead),
+                    Ok((name, value)) => link.answer.parameter(&name, &value),
                     Err(_) => return self.malformed(now, id),
                 },
                 (b'R', false) if !link.up && body == [0; 4] => {}
@@ -532,8 +532,7 @@
             Job::Call(rpc) if ended == Ended::Ok => self.pass_on(now, id, rpc),
             Job::Call(_) | Job::Fence => {}
             Job::Probe => {
-                let latest = now + self.limits.ahead;
-                report = read_report(conn.input.whole(), self.limits.member_ring, &self.columns, latest);
+                report = read_report(conn.input.whole(), self.limits.member_ring, &self.columns);
             }
         }
         if self.faulty.is(Faulty::IgnoresLag) {
@@ -590,7 +589,7 @@
         Outcome { member, ended, took, complete: false, unpaid: false, role, position }
     }
 
-    pub(super) fn parameter(&mut self, name: &str, value: &str, latest: Time) {
+    pub(super) fn parameter(&mut self, name: &str, value: &str) {
         match name {
             "node_role" => {
                 self.role = match value {
@@ -600,8 +599,7 @@
                 }
             }
             "replay_position" => {
-                self.position =
-                    value.parse().ok().map(moment).and_then(|position| plausible(position, latest));
+                self.position = value.parse().ok().map(moment);
             }
             _ => {}
         }
@@ -621,26 +619,20 @@
     }
 }
 
-/// Guards against stale reads and a primary that never changes again: no member can be past the present, by what clocks
-/// may differ in; what says so, or is before all time, is no news.
-fn plausible(position: Time, latest: Time) -> Option<Time> {
-    Some(position).filter(|position| position.nanos() > 0 && *position <= latest)
-}
-
 /// The load report in the row of an answer; none where it is not of the columns it should have, or can't be so.
-fn read_report(mut bytes: &[u8], most: usize, columns: &[String], latest: Time) -> Report {
+fn read_report(mut bytes: &[u8], most: usize, columns: &[String]) -> Report {
     while let Ok(Some((kind, body, length))) = pg::frame(bytes, most) {
         if let (b'D', Ok(Some(value))) = (kind, pg::column(body)) {
             let text = String::from_utf8_lossy(value);
             tracing::debug!("report {text}");
-            return pg::report(&text).and_then(|pairs| believed(&pairs, columns, latest)).unwrap_or_default();
+            return pg::report(&text).and_then(|pairs| of_columns(&pairs, columns)).unwrap_or_default();
         }
         bytes = bytes.get(length..).unwrap_or_default();
     }
     Report::default()
 }
 
-fn believed(pairs: &[(&str, f64)], columns: &[String], latest: Time) -> Option<Report> {
+fn of_columns(pairs: &[(&str, f64)], columns: &[String]) -> Option<Report> {
     let has = |column: &String| pairs.iter().any(|(name, _)| name == column);
     if !columns.iter().all(has) {
         return None;
@@ -648,10 +640,7 @@
     let mut report = Report::default();
     for &(name, value) in pairs {
         match name {
-            // Guards against a member that has made no report yet: all it says is zero, its role too.
-            POSITION => {
-                report.position = Some(plausible(Time::from_nanos((value * 1e9) as i64), latest)?);
-            }
+            POSITION => report.position = Some(Time::from_nanos((value * 1e9) as i64)),
             PRIMARY => report.primary = Some(value >= 0.5),
             HOLDS => report.holds = Some(value),
             _ => {}
--- a/crates/ladderpass/src/reducer/watch.rs
+++ b/crates/ladderpass/src/reducer/watch.rs
@@ -180,7 +180,11 @@
                     Standing::Fading if self.faulty.is(Faulty::IgnoresDrains) => Standing::On,
                     standing => standing,
                 },
-                born: instance.born().filter(|_| !self.faulty.is(Faulty::IgnoresWarmUp)),
+                // By the clock here; none starts in the future.
+                born: instance
+                    .born()
+                    .map(|born| now.min(born - self.reference_clock.confirmed()))
+                    .filter(|_| !self.faulty.is(Faulty::IgnoresWarmUp)),
                 kind: self.kinds.intern(&instance.machine_type),
                 size: instance.weight.filter(|&weight| self.sizes && weight > 0.0),
                 zone: if self.zoned { self.zones.intern(&instance.zone) } else { 0 },
