A statement that memory is short for is passed over and pushed back, not closed on

Seen: 38 of 150 whole statements of 128 KiB at a router of 32 MB were closed on with no answer after 2 s. Lines at fault: room() let no ring grow, and expired() took the client for one that had stopped in the middle, though it was the router that did not read. Now such a statement waits 0.1 s for memory; then none of it is kept, and once its last byte has come it is pushed back with a time to come back.

--- a/crates/ladderpass/src/limits.rs
+++ b/crates/ladderpass/src/limits.rs
@@ -23,6 +23,8 @@
     /// Past this much memory of all rings together no statement, and no answer, is let grow.
     pub rings_of_clients: usize,
     pub rings_together: usize,
+    /// A statement waits this long for memory to be read to; then it is passed over, and pushed back.
+    pub memory_wait: Span,
     /// Connections of clients and members together: members have what clients leave.
     pub connections: usize,
     /// Connections of clients that are served; past this, and up to the most that are accepted, newcomers are
@@ -134,6 +136,7 @@
             statement,
             rings_of_clients: memory / 4,
             rings_together: memory / 3,
+            memory_wait: Span::from_millis(100),
             connections: usable,
             clients_eased: sockets / 4,
             clients: usable * 11 / 16,
--- a/crates/ladderpass/src/reducer.rs
+++ b/crates/ladderpass/src/reducer.rs
@@ -673,6 +673,9 @@
                 client.refill = client.refill.map(|until| if now < until { refill } else { until });
                 // What waited for room of its own tells nothing of this router's pace.
                 client.came(if paused { now } else { now - waited.max(self.behind) }, count);
+                let passed_over = client.passes_over(count);
+                conn.input.consume(passed_over);
+                self.unlooked = self.unlooked.saturating_sub(passed_over);
                 self.ready.push_back(id);
             }
             Peer::Member(link) => {
@@ -804,6 +807,13 @@
                 _ if !conn.closing && client.refill.is_some_and(|until| until <= now) => {
                     self.refilled(now, id);
                 }
+                _ if self.starved.contains(&id) => self.pass_over(now, id),
+                // Memory came free while it waited for that: it has the time of any other.
+                _ if let Some((Waiting::Begun, since)) = client.waiting
+                    && now < since + self.limits.message =>
+                {
+                    self.set_deadline(id, Some(since + self.limits.message));
+                }
                 _ if client.waiting.is_some() => self.part_with(id),
                 _ => self.drop_conn(id),
             },
--- a/crates/ladderpass/src/reducer/clients.rs
+++ b/crates/ladderpass/src/reducer/clients.rs
@@ -35,6 +35,8 @@
     /// It had sent more than there is room for; from when on its socket, empty since, counts as read to its end.
     pub(super) overran: bool,
     pub(super) refill: Option<Time>,
+    /// Bytes that are still to come of a statement that memory was short for; none of it is kept.
+    passing_over: Option<usize>,
     /// In this turn: what it sent behind that is the next one's, as the answer may show that it has left.
     pub(super) just_answered: bool,
     /// What it took of the router lately.
@@ -77,6 +79,15 @@
         Some((mark.at, own.max(Span::ZERO)))
     }
 
+    /// Of so many bytes that came, those that are of a statement that is passed over.
+    pub(super) fn passes_over(&mut self, count: usize) -> usize {
+        let Some(left) = &mut self.passing_over else { return 0 };
+        let passed = count.min(*left);
+        *left -= passed;
+        self.is_done_with(passed);
+        passed
+    }
+
     fn is_done_with(&mut self, count: usize) {
         self.done += count as u64;
         while self.marks.front().is_some_and(|mark| mark.to <= self.done) {
@@ -134,6 +145,7 @@
             served: false,
             overran: false,
             refill: None,
+            passing_over: None,
             just_answered: false,
             spent: Spent::default(),
             came: 0,
@@ -314,6 +326,16 @@
             {
                 return;
             }
+            // What is passed over is answered once its last byte has come.
+            match client.passing_over {
+                Some(0) => {
+                    client.passing_over = None;
+                    self.refuse(now, id, 0, Refusal::Memory);
+                    continue;
+                }
+                Some(_) => return,
+                None => {}
+            }
             // One that does not read its answers gets no more of them.
             if conn.output.len() > self.limits.ring_start {
                 let deadline = conn.deadline.or(Some(now + self.limits.unread));
@@ -453,6 +475,28 @@
         self.recount(id);
     }
 
+    /// Guards a statement that is whole at its socket, or will be, against waiting for memory past its client's time: none
+    /// of it is kept, and it is pushed back once its last byte has come.
+    pub(super) fn pass_over(&mut self, now: Time, id: ConnId) {
+        self.starved.remove(&id);
+        let message = self.limits.message;
+        let Some(conn) = self.conns.get_mut(&id) else { return };
+        let held = conn.input.len();
+        let length = pg::head(conn.input.whole()).ok().flatten().map_or(0, |(_, length)| length);
+        let Peer::Client(client) = &mut conn.peer else { return };
+        if client.phase != Phase::Idle || length <= held {
+            return self.part_with(id);
+        }
+        client.passing_over = Some(length - held);
+        let since = client.waiting.map_or(now, |(_, since)| since);
+        self.used(id, held);
+        if let Some(conn) = self.conns.get_mut(&id) {
+            conn.input.shrink(0);
+        }
+        self.recount(id);
+        self.set_deadline(id, Some(since + message));
+    }
+
     /// Closes once what it is owed is written, or not read for too long.
     pub(super) fn close_client(&mut self, now: Time, id: ConnId) {
         let Some(conn) = self.conns.get_mut(&id) else { return };
@@ -483,7 +527,9 @@
                 _ => now,
             };
             self.wait_for(id, Some((Waiting::Begun, since)));
-            return self.set_deadline(id, Some(since + message));
+            let starved = self.starved.contains(&id);
+            let within = if starved { self.limits.memory_wait } else { message };
+            return self.set_deadline(id, Some(since + within));
         }
         if over || stopping && client.served {
             return self.close_client(now, id);
@@ -655,6 +701,7 @@
             Refusal::Stopping => (false, "57P03", "the router stops"),
             Refusal::SentAhead => (false, "53300", "too much is sent ahead"),
             Refusal::Full => (false, "53300", "too many RPCs are held"),
+            Refusal::Memory => (false, "53300", "memory is short"),
             Refusal::Crowded => (true, "53300", "too many connections"),
         };
         let retry_after = after(self.router.come_back());
@@ -710,6 +757,7 @@
     Stopping,
     SentAhead,
     Full,
+    Memory,
     Crowded,
 }
 
