--- /dev/null
+++ b/crates/ladderpass/tests/soak.rs
@@ -0,0 +1,229 @@
+//! A soak: short lives of a router, each of another seed, up to the earliest SIGKILL that the operators' pages allow. Clients
+//! keep using open connections until then; signals come in series; members, discovery and the network fail as a plan
+//! drawn from the seed has it; system calls fail; the wall clock is stepped; some lives have a crowd.
+//!
+//! Here it runs for about a minute. The long run is started by hand: LADDERPASS_SOAK=first..last cargo test --release
+//! -p ladderpass --test soak -- --nocapture
+
+mod failing;
+
+use failing::{Failure, Step};
+use ladderpass_core::{Span, Time};
+use ladderpass_faults::Rule;
+use ladderpass_fleet::Scenario;
+use ladderpass_fleet::scenario::Allowed;
+use ladderpass_lab::bed::{self, Deed, Seen, links, open};
+use ladderpass_lab::load::{Entry, Plan};
+use ladderpass_lab::router::Router;
+use nanorand::{Rng, WyRand};
+use nix::sys::signal::Signal;
+use std::cell::Cell;
+use std::net::TcpStream;
+use std::time::Duration;
+
+#[test]
+fn router_process() {
+    failing::serve_if_told();
+}
+
+/// Seeds of the run in CI.
+const SEEDS: std::ops::Range<u64> = 0..16;
+/// From SIGTERM to the earliest SIGKILL beside the longest deadline, and from when on what comes has to be answered by then.
+const KILL_AFTER: Span = Span::from_millis(700);
+/// A request sent this short before its connection ended may have crossed the end unread: its client sends it once more.
+const CROSSING: Span = Span::from_millis(50);
+/// An answer that much later than its client's time only earns nothing.
+const LATE: Span = Span::from_millis(500);
+/// The judge's own slack, where the page has none: the load reads its sockets in turn.
+const SLACK: Span = Span::from_millis(50);
+
+fn secs(span: Span) -> f64 {
+    span.secs()
+}
+
+/// What a seed draws.
+#[derive(Debug)]
+struct Life {
+    deadline: Span,
+    pipeline: usize,
+    crowd: usize,
+    term_at: Span,
+    hang_ups: Vec<Span>,
+    terms: usize,
+    drains_at: Option<Span>,
+    failures: Vec<Failure>,
+    steps: Vec<Step>,
+    /// Members that fall silent right before SIGTERM, for good.
+    hang: usize,
+    rules: usize,
+}
+
+/// Calls that may fail while a router serves, with an error that passes.
+const CALLS: [(i64, i32); 8] = [
+    (libc::SYS_recvmsg, libc::ENOMEM),
+    (libc::SYS_sendto, libc::ENOBUFS),
+    (libc::SYS_epoll_ctl, libc::ENOMEM),
+    (libc::SYS_accept4, libc::ENFILE),
+    (libc::SYS_accept4, libc::ECONNABORTED),
+    (libc::SYS_socket, libc::EMFILE),
+    (libc::SYS_connect, libc::EADDRNOTAVAIL),
+    (libc::SYS_openat, libc::EIO),
+];
+
+impl Life {
+    fn drawn(seed: u64) -> Life {
+        let mut chance = WyRand::new_seed(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        let mut below = |most: u64| chance.generate_range(0..most);
+        let term_at = Span::from_millis(700 + below(500) as i64);
+        let hang_up = |at: u64| Span::from_millis(100 + at as i64);
+        Life {
+            deadline: Span::from_millis([300, 500, 1000, 2000][below(4) as usize]),
+            pipeline: [1, 1, 4][below(3) as usize],
+            crowd: [0, 0, 300][below(3) as usize],
+            term_at,
+            hang_ups: (0..below(5)).map(|_| hang_up(below(2000))).collect(),
+            terms: 1 + below(3) as usize,
+            drains_at: (below(3) == 0).then(|| term_at - Span::from_millis(100 + below(300) as i64)),
+            failures: (0..below(3))
+                .map(|_| {
+                    let (call, errno) = CALLS[below(CALLS.len() as u64) as usize];
+                    let (after, every) = (Duration::from_millis(300 + below(1500)), 1 + below(6));
+                    Failure { after, every, count: 1 + below(20), ..Failure::of(call, errno) }
+                })
+                .collect(),
+            steps: (0..below(3))
+                .map(|_| {
+                    let by = Duration::from_millis([300, 2000, 5000, 3_600_000][below(4) as usize]);
+                    Step { after: Duration::from_millis(below(2000)), by, back: below(2) == 0 }
+                })
+                .collect(),
+            hang: below(4) as usize,
+            rules: below(4) as usize,
+        }
+    }
+}
+
+/// Statements that a router has lost, by the pages: for each the reason.
+fn lost(entry: &Entry, term: Time, kill: Time) -> Option<&'static str> {
+    if entry.answered.is_some() || entry.sent >= kill {
+        return None;
+    }
+    match entry.lost {
+        Some(at) if at < kill => (at - entry.sent > CROSSING).then_some("closed on without an answer"),
+        _ if entry.sent > term + KILL_AFTER => Some("unanswered at the kill"),
+        _ => (entry.until + SLACK <= kill).then_some("without an answer in its time"),
+    }
+}
+
+/// What is broken in the life of a seed.
+fn live(seed: u64) -> Vec<String> {
+    let life = Life::drawn(seed);
+    let scenario = Scenario::default();
+    let shapes = links(&["127.0.0.1:1".parse().expect("one"); 3], "127.0.0.1:2".parse().expect("one"));
+    let drawn = ladderpass_faults::Plan::drawn(seed, life.rules, shapes).rules.into_iter();
+    // Bytes garbled within a value pass for a value: nobody between can tell.
+    let mut rules: Vec<Rule> = drawn.filter(|rule| rule.action.name() != "garble").collect();
+    let hangs_at = (secs(life.term_at) * 1e3) as i64 - 50;
+    rules.extend((0..life.hang).map(|member| {
+        let rule = format!(
+            "{{name: hang-{member}, link: member-{member}, when: {{after_ms: {hangs_at}, message: ReadyForQuery}}, \
+             do: silence, times: 0}}"
+        );
+        Rule::read(&rule).unwrap_or_else(|fault| panic!("{fault}"))
+    }));
+    let mut start = failing::start(&life.failures, &life.steps);
+    let sockets = if life.crowd > 0 { 256 } else { 1024 };
+    start.allowed = Allowed { cores: 1.0, memory_mb: 64, sockets };
+    let kill_at = life.term_at + life.deadline + KILL_AFTER;
+    let phases = [(secs(kill_at) + 0.3, 150.0)];
+    let plan =
+        Plan { connections: 40, pipeline: life.pipeline, deadline: life.deadline, ..open(seed, &phases) };
+    let (term, kill) = (Cell::new(None), Cell::new(None));
+    let signal = |router: &Router, signal| {
+        // One that has ended already gets none.
+        let _ = router.signal(signal);
+    };
+    let mut deeds: Vec<Deed<'_>> = Vec::new();
+    if life.crowd > 0 {
+        let mut crowd = Vec::new();
+        let count = life.crowd;
+        deeds.push((
+            0.2,
+            Box::new(move |router, _| {
+                crowd.extend((0..count).filter_map(|_| TcpStream::connect(router.address).ok()));
+            }),
+        ));
+    }
+    for &at in &life.hang_ups {
+        deeds.push((secs(at), Box::new(move |router, _| signal(router, Signal::SIGHUP))));
+    }
+    for nth in 0..life.terms {
+        let at = secs(life.term_at) + nth as f64 * 0.15;
+        let term = &term;
+        deeds.push((
+            at,
+            Box::new(move |router, _| {
+                term.set(term.get().or_else(|| Some(ladderpass_fleet::now())));
+                signal(router, Signal::SIGTERM);
+            }),
+        ));
+    }
+    if let Some(at) = life.drains_at {
+        deeds.push((secs(at), Box::new(|_, fleet| fleet.drain(1))));
+    }
+    deeds.push((
+        secs(kill_at),
+        Box::new(|router, _| {
+            kill.set(Some(ladderpass_fleet::now()));
+            signal(router, Signal::SIGKILL);
+        }),
+    ));
+    let done = bed::run_through(&scenario, &start, &plan, Some(rules), deeds, |_| {});
+    let (seen, _) = done.unwrap_or_else(|fault| panic!("seed {seed}: {fault}"));
+    let (Some(term), Some(kill)) = (term.get(), kill.get()) else { panic!("seed {seed}: too short") };
+    let mut broken = judge(&seen, term, kill);
+    if !broken.is_empty() {
+        broken.push(format!("{life:?}"));
+        broken.extend(seen.log.iter().rev().take(5).cloned());
+    }
+    broken
+}
+
+fn judge(seen: &Seen, term: Time, kill: Time) -> Vec<String> {
+    let mut broken: Vec<String> =
+        seen.outcome.faults.iter().map(|fault| format!("rule 1: {fault}")).collect();
+    for entry in &seen.outcome.journal {
+        if let Some(reason) = lost(entry, term, kill) {
+            let after = (entry.sent - term).secs() * 1e3;
+            broken.push(format!("rule 1: {:x}, sent {after:.0} ms after SIGTERM: {reason}", entry.number));
+        }
+        if entry.answered.is_some_and(|(at, ..)| at > entry.until + LATE) {
+            broken.push(format!("rule 1: {:x} is answered too late", entry.number));
+        }
+    }
+    // Whether each has an answer is judged above.
+    let others = seen.violations(LATE).into_iter().filter(|violation| violation.rule != 1);
+    broken.extend(others.map(|violation| violation.to_string()));
+    // Its own end, once it owes nothing, or the kill's.
+    if !matches!(seen.ended, Some(Some(0) | None)) {
+        broken.push(format!("the process ended with {:?}", seen.ended));
+    }
+    broken
+}
+
+#[test]
+fn no_rule_breaks_in_short_lives() {
+    let told = std::env::var("LADDERPASS_SOAK").ok();
+    let range = told.as_deref().and_then(|text| text.split_once(".."));
+    let range = range.and_then(|(first, last)| Some(first.parse().ok()?..last.parse().ok()?));
+    let mut broken = Vec::new();
+    for seed in range.unwrap_or(SEEDS) {
+        let found = live(seed);
+        println!("seed {seed}: {} broken", found.len());
+        if let Some(first) = found.first() {
+            broken.push(format!("seed {seed}: {} broken, first {first}; {:?}", found.len(), found.last()));
+            found.iter().take(12).for_each(|line| println!("  {line}"));
+        }
+    }
+    assert!(broken.is_empty(), "{broken:#?}");
+}
