Failing test: a discovery that takes long for each call

Seen over real connections: discovery that answers each call after 1.6 s is never heard: the call is given up after 1.5 s, and the next one stands at the end of its line. A change counts as told after 6 s whatever became of the calls.

--- a/crates/ladderpass/tests/terms.rs
+++ b/crates/ladderpass/tests/terms.rs
@@ -185,6 +185,48 @@
     bed.links[0].push(late);
 }
 
+// ---- discovery
+
+/// Discovery works through its calls in turn, and answers each within the 2 s after which it would turn it away. A change
+/// counts as told 6 s after it had it and could be reached, whatever became of the calls before.
+#[test]
+fn a_discovery_that_takes_long_for_each_call_is_heard() {
+    for takes in [1300, 1600, 1900] {
+        let mut bed = bed(|told| told);
+        bed.passes("1");
+        let moved = instance(0, &bed.at(1), "SERVING");
+        let list = format!("{{\"generation\":9,\"reset\":true,\"instances\":[{moved}]}}\n");
+        let answer =
+            format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{list}\r\n", list.len());
+        let discovery = bed.discovery.try_clone().expect("it can");
+        std::thread::spawn(move || {
+            loop {
+                let mut call = accept(&discovery);
+                let answer = answer.clone();
+                std::thread::spawn(move || {
+                    sleep(ms(takes));
+                    let _ = call.write_all(answer.as_bytes());
+                    sleep(ms(20_000));
+                });
+            }
+        });
+        bed.watch = None;
+        let since = Instant::now();
+        let mut nth = 1;
+        let told = loop {
+            assert!(since.elapsed() < ms(6000), "{takes} ms a call: not told yet");
+            nth += 1;
+            let mut client = bed.client();
+            client.write_all(&query(&write(&nth.to_string()))).expect("the router reads");
+            match bed.asked_within(1, ms(100)) {
+                Some((id, _)) if id == nth.to_string() => break since.elapsed(),
+                _ => sleep(ms(50)),
+            }
+        };
+        println!("{takes} ms a call: told after {told:?}");
+    }
+}
+
 // ---- memory
 
 /// More whole statements at once than there is memory for, and members hang: each is answered, by its time and half a
