A discovery that takes up to 2 s for each call is heard

Seen: a call without an answer for 1.5 s was given up (watch.rs, watch_is_silent), so one that a crowded discovery answers after 1.6 to 2 s never counted, and each next stood at the end of its line. Now a call is listened to for 2.2 s, beside the next one, which is made as early as before: whichever is answered first is the watch. No call more is made.

--- a/crates/ladderpass/src/limits.rs
+++ b/crates/ladderpass/src/limits.rs
@@ -92,6 +92,9 @@
     /// A call to discovery ends after so long without a byte, and after `watch_silence` in all, until it has
     /// given a line.
     pub watch_answer: Span,
+    /// It is listened to for so long all the same, beside the next: a discovery that is crowded answers, or turns away,
+    /// within 2 s.
+    pub watch_late: Span,
     /// A watch that was silent for so long has failed. The protocol has an empty line every 2 s; what a silent watch
     /// would have told counts as told 6 s after it fell silent. In between two further calls have their time.
     pub watch_silence: Span,
@@ -173,6 +176,7 @@
             rest_of_answer: Span::from_millis(250),
             ahead: Span::from_millis(1000),
             watch_answer: Span::from_millis(1500),
+            watch_late: Span::from_millis(2200),
             watch_silence: Span::from_millis(3000),
             told_within: Span::from_millis(6000),
             tally: Span::from_millis(10_000),
--- a/crates/ladderpass/src/reducer.rs
+++ b/crates/ladderpass/src/reducer.rs
@@ -205,6 +205,8 @@
     watch: Option<ConnId>,
     /// When it was asked for.
     asked_at: Time,
+    /// A call without an answer so far, beside which the next has been made, or is about to be.
+    late_watch: Option<ConnId>,
     /// The watch of the address that discovery had before: it serves until the new one has answered.
     old_watch: Option<ConnId>,
     /// Discovery has another address, which has not answered yet.
@@ -287,6 +289,7 @@
             older: false,
             watch: None,
             asked_at: now,
+            late_watch: None,
             old_watch: None,
             moved_watch: false,
             fixed: launch.fixed,
@@ -637,6 +640,7 @@
             }
             Peer::Discovery(_) => {
                 self.watch = self.watch.filter(|&watch| watch != id);
+                self.late_watch = self.late_watch.filter(|&watch| watch != id);
                 self.old_watch = self.old_watch.filter(|&watch| watch != id);
             }
         }
--- a/crates/ladderpass/src/reducer/watch.rs
+++ b/crates/ladderpass/src/reducer/watch.rs
@@ -1,6 +1,7 @@
 //! The list: the watch of discovery, its move to another address, and members as the list tells them.
 //!
-//! It owns these invariants: one watch, and at most one older that serves until it has answered; an index stands for one
+//! It owns these invariants: one watch, at most one call before it that may still be answered, and at most one watch of
+//! another address that serves until it has answered; an index stands for one
 //! member until the core has forgotten it and its last connection is over. It must never judge a member: the core does.
 
 use super::*;
@@ -25,7 +26,7 @@
             Some(id) if self.has_answered(id) => self.old_watch.replace(id),
             asked_for => asked_for,
         };
-        of_no_use.into_iter().for_each(|id| self.drop_conn(id));
+        of_no_use.into_iter().chain(self.late_watch).for_each(|id| self.drop_conn(id));
         // By way of the core, so that a pause that it had in mind doesn't end in the middle of this call.
         self.router.list_news(now, ListNews::Failed { silent: true });
     }
@@ -58,6 +59,7 @@
             match reader.next(&mut conn.input, self.limits.list_line) {
                 // Guards against a call that is answered with a head, or the beginning of a list, and no more: it may
                 // take as long as a watch may be silent, and goes on within the time of a first answer.
+                Ok(None) if self.late_watch == Some(id) => return,
                 Ok(None) if !self.has_answered(id) => {
                     let most = self.asked_at + self.limits.watch_silence;
                     return self.set_deadline(id, Some(most.min(now + self.limits.watch_answer)));
@@ -68,6 +70,9 @@
                 Ok(None) => return,
                 Ok(Some(listing)) => {
                     moved_on = true;
+                    if !self.is_first_to_answer(id) {
+                        return self.drop_conn(id);
+                    }
                     if self.watch == Some(id) {
                         self.silent_since = None;
                     }
@@ -96,6 +101,26 @@
         }
     }
 
+    /// Guards against a crowded discovery, which takes long for each call, and puts the next at the end of its line: of two
+    /// calls that which is answered first is the watch.
+    fn is_first_to_answer(&mut self, id: ConnId) -> bool {
+        let Some(late) = self.late_watch else { return true };
+        if late != id {
+            if self.watch == Some(id) {
+                self.drop_conn(late);
+            }
+            return true;
+        }
+        let newer = self.watch.take();
+        if newer.is_some_and(|newer| self.has_answered(newer)) {
+            self.watch = newer;
+            return false;
+        }
+        newer.into_iter().for_each(|newer| self.drop_conn(newer));
+        (self.watch, self.late_watch) = (Some(id), None);
+        true
+    }
+
     /// Guards against a discovery that has started to count anew, whose lists would be refused for ever. No list
     /// is late for longer than the protocol lets news be: that long after the list here was told, an older one
     /// that is whole is taken as it is. Guards as well against a single one from long ago: true for the first in
@@ -117,6 +142,14 @@
             self.silent_since = Some(now - self.limits.watch_silence);
         }
         let silent = self.silent_since.is_some_and(|since| now - since <= self.limits.told_within);
+        let late_until = self.asked_at + self.limits.watch_late;
+        if self.watch == Some(id) && !self.has_answered(id) && now < late_until {
+            tracing::warn!("the list: no answer yet");
+            self.late_watch.into_iter().for_each(|late| self.drop_conn(late));
+            self.late_watch = self.watch.take();
+            self.set_deadline(id, Some(late_until));
+            return self.router.list_news(now, ListNews::Failed { silent });
+        }
         self.watch_over(now, id, "silence", silent);
     }
 
@@ -126,7 +159,7 @@
 
     fn watch_over(&mut self, now: Time, id: ConnId, why: &str, silent: bool) {
         tracing::warn!("the list: {why}");
-        let before = self.old_watch == Some(id);
+        let before = self.old_watch == Some(id) || self.late_watch == Some(id);
         self.drop_conn(id);
         // Its successor is being asked for already.
         if before {
