Repeats are sent only where the group or all drop them

deployment/lib.rs took each scope but "all" for the group's. Any other has no window now: nothing that may have run is sent again. A test of the time to come back that refusals of the front name stands beside it.

--- a/crates/ladderpass-deployment/src/lib.rs
+++ b/crates/ladderpass-deployment/src/lib.rs
@@ -225,7 +225,12 @@
             "pure" => Effect::Idempotent,
             "token" => Effect::Tokened {
                 anywhere: service.dedup_scope.as_deref() == Some("all"),
-                window: span(&format!("Services[{index}].KeyTtl"), service.key_ttl)?,
+                // Guards rule 2: where neither the group nor all drop repeats, a member of the group may not know of the
+                // first.
+                window: match service.dedup_scope.as_deref() {
+                    Some("all" | "cell") => span(&format!("Services[{index}].KeyTtl"), service.key_ttl)?,
+                    _ => Span::ZERO,
+                },
             },
             "side_effect" => Effect::NonIdempotent,
             other => return Err(format!("Services[{index}].Effect: unknown value {other:?}")),
--- a/crates/ladderpass/tests/terms.rs
+++ b/crates/ladderpass/tests/terms.rs
@@ -227,6 +227,23 @@
     }
 }
 
+// ---- refusals
+
+/// A refusal names a time to come back where the settings allow it, also of what was never taken as an RPC.
+#[test]
+fn a_refusal_names_a_time_to_come_back() {
+    let mut bed = bed(|told| told.replace("\"AttemptsCap\":6", "\"AttemptsCap\":6,\"MostHeld\":1"));
+    let (mut first, mut second) = (bed.client(), bed.client());
+    first.write_all(&query(&write("1"))).expect("the router reads");
+    let (_, _held) = bed.asked(0);
+    second.write_all(&query(&write("2"))).expect("the router reads");
+    let (kind, body) = next_frame(&mut second).expect("an answer");
+    assert_eq!((kind, code(&body).as_str()), (b'E', "53300"));
+    let named = body.split(|&byte| byte == 0).find(|field| field.first() == Some(&b'D'));
+    let named = named.and_then(|field| std::str::from_utf8(&field[1..]).ok()?.parse::<u64>().ok());
+    assert!(named.is_some_and(|ms| (1..=500).contains(&ms)), "{named:?}");
+}
+
 // ---- memory
 
 /// More whole statements at once than there is memory for, and members hang: each is answered, by its time and half a
