--- a/crates/ladderpass/tests/terms.rs
+++ b/crates/ladderpass/tests/terms.rs
@@ -185,6 +185,41 @@
     bed.links[0].push(late);
 }
 
+// ---- configurations
+
+/// Five new configurations in quick succession, the file half written at one of the signals: the last one counts, and
+/// its discovery is heard within 4 s. Those before it are silent.
+#[test]
+fn new_configurations_in_quick_succession_are_followed_to_the_last() {
+    let mut bed = bed(|told| told);
+    bed.passes("1");
+    let good = std::fs::read_to_string(&bed.told).expect("its file");
+    let listeners: Vec<_> = (0..5).map(|_| listener()).collect();
+    for (nth, listener) in listeners.iter().enumerate() {
+        let at = listener.local_addr().expect("an address");
+        let text = good.replace("\"seed\":\"8c", &format!("\"discovery\":\"{at}\",\"seed\":\"8c"));
+        if nth == 3 {
+            std::fs::write(&bed.told, &text[..text.len() / 2]).expect("written");
+            bed.signal(Signal::SIGHUP);
+            sleep(ms(30));
+        }
+        std::fs::write(&bed.told, &text).expect("written");
+        bed.signal(Signal::SIGHUP);
+        sleep(ms(30));
+    }
+    let since = Instant::now();
+    bed.discovery = listeners.into_iter().next_back().expect("five");
+    bed.open_watch();
+    let moved = instance(0, &bed.at(1), "SERVING");
+    bed.generation = 100;
+    bed.tell(&moved, true);
+    bed.settle();
+    assert!(since.elapsed() < ms(4000), "after {:?}", since.elapsed());
+    let mut client = bed.client();
+    client.write_all(&query(&write("2"))).expect("the router reads");
+    assert_eq!(bed.asked(1).0, "2");
+}
+
 // ---- discovery
 
 /// Discovery works through its calls in turn, and answers each within the 2 s after which it would turn it away. A change
@@ -271,6 +306,10 @@
     let lost: Vec<String> =
         clients.into_iter().filter_map(|client| client.join().expect("no panic").err()).collect();
     assert_eq!(lost.len(), 0, "{} lost: {:?}", lost.len(), &lost[..lost.len().min(3)]);
+    let status = std::fs::read_to_string(format!("/proc/{}/status", bed.process.id())).expect("it runs");
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
+    let peak: u64 = peak.trim().trim_end_matches(" kB").parse().expect("a number");
+    assert!(peak < 32 << 10, "{peak} KiB of 32 MiB");
 }
 
 // ---- the stop
