--- a/crates/ladderpass/tests/terms.rs
+++ b/crates/ladderpass/tests/terms.rs
@@ -220,6 +220,30 @@
     assert_eq!(bed.asked(1).0, "2");
 }
 
+// ---- pushed lists
+
+/// What the agent has counts as told at once, and binds after a grace of 0.25 s: a watch that breaks, five times in a
+/// row, is back within it each time.
+#[test]
+fn a_watch_of_a_pushed_list_is_back_within_a_short_grace() {
+    let grace = "\"DrainGrace\":250000000,\"OverloadFor\"";
+    let mut bed =
+        bed(|told| told.replace("\"subscribe\"", "\"automatic\"").replace("\"OverloadFor\"", grace));
+    for _ in 0..5 {
+        bed.watch = None;
+        let since = Instant::now();
+        bed.open_watch();
+        assert!(since.elapsed() < ms(200), "after {:?}", since.elapsed());
+    }
+    bed.tell("", false);
+    let fading = instance(0, &bed.at(0), "DRAINING");
+    bed.tell(&fading, false);
+    bed.settle();
+    let mut client = bed.client();
+    client.write_all(&query(&statement("1", "write", 400, "1"))).expect("the router reads");
+    assert!(bed.asked_within(0, ms(600)).is_none(), "nothing goes to the one that drains");
+}
+
 // ---- discovery
 
 /// Discovery works through its calls in turn, and answers each within the 2 s after which it would turn it away. A change
