--- a/crates/ladderpass/src/wires.rs
+++ b/crates/ladderpass/src/connection_table.rs
@@ -22,10 +22,11 @@
     }
 }
 
-pub struct Wire {
+/// A client's, a member's or discovery's connection.
+pub struct Connection {
     pub stream: TcpStream,
     /// It is coming up: its first writability tells how that went.
-    pub coming: bool,
+    pub connecting: bool,
     /// Opened by this router.
     pub ours: bool,
     /// It was not read to its end the last time.
@@ -40,11 +41,11 @@
 
 /// Who has told something that is to be looked at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Teller {
+pub enum EventSource {
     Member,
     Client,
     /// A client that has ended its sending. It is told at once, also where it stands in line already.
-    LeftClient,
+    ClosedClient,
 }
 
 /// What a socket tells.
@@ -56,24 +57,25 @@
     pub ended: bool,
 }
 
-pub struct Wires {
+/// All connections, by their ids.
+pub struct ConnectionTable {
     set: Rc<Set>,
     // The ids are this router's own: nobody can choose them so that they collide.
-    wires: FxHashMap<ConnId, Wire>,
+    connections: FxHashMap<ConnId, Connection>,
     /// When the set was asked last, and told all that it had.
     polled_at: Instant,
     events: Vec<EpollEvent>,
 }
 
-impl Wire {
+impl Connection {
     /// `quiet_until`: nothing had come on it before that.
-    pub fn new(stream: TcpStream, ours: bool, quiet_until: Instant) -> Wire {
+    pub fn new(stream: TcpStream, ours: bool, quiet_until: Instant) -> Connection {
         // Without stamps the time in the kernel counts as none, which is what it was taken for before.
         if let Err(fault) = setsockopt(&stream, sockopt::ReceiveTimestampns, &true) {
             tracing::debug!("no time of arrival from the kernel: {fault}");
         }
         let stamp = nix::cmsg_space!(nix::sys::time::TimeSpec);
-        Wire { stream, coming: ours, ours, unread: false, quiet_until, told: None, stamp }
+        Connection { stream, connecting: ours, ours, unread: false, quiet_until, told: None, stamp }
     }
 
     /// How many bytes were read, and when the last of them came, by the kernel's wall clock.
@@ -91,44 +93,44 @@
     }
 }
 
-impl Wires {
-    pub fn new() -> io::Result<Wires> {
+impl ConnectionTable {
+    pub fn new() -> io::Result<ConnectionTable> {
         let set = Rc::new(Set(Epoll::new(EpollCreateFlags::EPOLL_CLOEXEC)?));
         let events = vec![EpollEvent::empty(); 1024];
-        Ok(Wires { set, wires: FxHashMap::default(), polled_at: Instant::now(), events })
+        Ok(ConnectionTable { set, connections: FxHashMap::default(), polled_at: Instant::now(), events })
     }
 
     pub fn set(&self) -> Rc<Set> {
         self.set.clone()
     }
 
-    /// Gives it back where the kernel's set takes it not.
-    pub fn add(&mut self, id: ConnId, wire: Wire) -> Result<(), (Wire, io::Error)> {
+    /// Has it watched; gives it back where the kernel can't.
+    pub fn add(&mut self, id: ConnId, connection: Connection) -> Result<(), (Connection, io::Error)> {
         let flags = EpollFlags::EPOLLIN | EpollFlags::EPOLLOUT | EpollFlags::EPOLLRDHUP | EpollFlags::EPOLLET;
-        match self.set.0.add(&wire.stream, EpollEvent::new(flags, id.0)) {
+        match self.set.0.add(&connection.stream, EpollEvent::new(flags, id.0)) {
             Ok(()) => {
-                self.wires.insert(id, wire);
+                self.connections.insert(id, connection);
                 Ok(())
             }
-            Err(fault) => Err((wire, fault.into())),
+            Err(fault) => Err((connection, fault.into())),
         }
     }
 
     pub fn len(&self) -> usize {
-        self.wires.len()
+        self.connections.len()
     }
 
-    pub fn get(&self, id: ConnId) -> Option<&Wire> {
-        self.wires.get(&id)
+    pub fn get(&self, id: ConnId) -> Option<&Connection> {
+        self.connections.get(&id)
     }
 
-    pub fn get_mut(&mut self, id: ConnId) -> Option<&mut Wire> {
-        self.wires.get_mut(&id)
+    pub fn get_mut(&mut self, id: ConnId) -> Option<&mut Connection> {
+        self.connections.get_mut(&id)
     }
 
     /// Closes it, which takes it out of the set.
     pub fn remove(&mut self, id: ConnId) -> bool {
-        self.wires.remove(&id).is_some()
+        self.connections.remove(&id).is_some()
     }
 
     /// The set had nothing to tell then.
@@ -139,30 +141,30 @@
     /// Puts each that is ready in line, without waiting. One that stands there already is not put in again: else those
     /// that are busy would fill it. All that the kernel has is taken, but not more than there are sockets: an end that
     /// waits behind a thousand others is known as soon as theirs.
-    pub fn harvest(&mut self, mut stand: impl FnMut(ConnId, Teller)) -> io::Result<()> {
+    pub fn harvest(&mut self, mut stand: impl FnMut(ConnId, EventSource)) -> io::Result<()> {
         let began = Instant::now();
-        for _ in 0..=self.wires.len() / self.events.len() {
+        for _ in 0..=self.connections.len() / self.events.len() {
             let count = match self.set.0.wait(&mut self.events, EpollTimeout::ZERO) {
                 Err(nix::errno::Errno::EINTR) => return Ok(()),
                 count => count?,
             };
             for event in self.events.iter().take(count) {
                 let (id, flags) = (ConnId(event.data()), event.events());
-                let Some(wire) = self.wires.get_mut(&id) else { continue };
+                let Some(connection) = self.connections.get_mut(&id) else { continue };
                 // What it tells now it would have told then, had it been there.
-                if wire.told.is_none() && !wire.unread {
-                    wire.quiet_until = wire.quiet_until.max(self.polled_at);
+                if connection.told.is_none() && !connection.unread {
+                    connection.quiet_until = connection.quiet_until.max(self.polled_at);
                 }
                 let over = EpollFlags::EPOLLERR | EpollFlags::EPOLLHUP;
-                let before = wire.told.unwrap_or_default();
+                let before = connection.told.unwrap_or_default();
                 let ended = flags.intersects(over | EpollFlags::EPOLLRDHUP);
-                match wire.ours {
-                    false if ended => stand(id, Teller::LeftClient),
-                    _ if wire.told.is_some() => {}
-                    true => stand(id, Teller::Member),
-                    false => stand(id, Teller::Client),
+                match connection.ours {
+                    false if ended => stand(id, EventSource::ClosedClient),
+                    _ if connection.told.is_some() => {}
+                    true => stand(id, EventSource::Member),
+                    false => stand(id, EventSource::Client),
                 }
-                wire.told = Some(Ready {
+                connection.told = Some(Ready {
                     readable: before.readable || flags.contains(EpollFlags::EPOLLIN),
                     writable: before.writable || flags.contains(EpollFlags::EPOLLOUT),
                     ended: before.ended || ended,
@@ -177,8 +179,8 @@
     }
 
     /// It is looked at: what it has told, and itself.
-    pub fn take(&mut self, id: ConnId) -> Option<(Ready, &mut Wire)> {
-        let wire = self.wires.get_mut(&id)?;
-        Some((wire.told.take()?, wire))
+    pub fn take(&mut self, id: ConnId) -> Option<(Ready, &mut Connection)> {
+        let connection = self.connections.get_mut(&id)?;
+        Some((connection.told.take()?, connection))
     }
 }
--- a/crates/ladderpass/src/lib.rs
+++ b/crates/ladderpass/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod arrival;
 pub mod buffer;
+mod connection_table;
 pub mod discovery;
 mod failures;
 pub mod faulty;
@@ -12,4 +13,3 @@
 pub mod pg;
 pub mod reducer;
 pub mod sockets;
-mod wires;
--- a/crates/ladderpass/src/sockets.rs
+++ b/crates/ladderpass/src/sockets.rs
@@ -5,11 +5,11 @@
 //! is written stands in the reducer.
 
 use crate::arrival::WallClock;
+use crate::connection_table::{Connection, ConnectionTable, EventSource};
 use crate::failures::{Postponed, is_passing, is_short, passes_at_start};
 use crate::launch::Launch;
 use crate::limits::Reread;
 use crate::reducer::{ConnId, Effect, Event, Reducer};
-use crate::wires::{Teller, Wire, Wires};
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, RegistrationToken};
@@ -72,7 +72,7 @@
     /// SIGHUP came, and what the router is told could not be read yet.
     unread_launch: Option<UnreadLaunch>,
     reread: Reread,
-    looks: Looks,
+    usage: ResourceUsage,
     short_rest: Duration,
     /// Reads from one connection in one go; those with more to read have their next go after the others.
     reads: usize,
@@ -80,7 +80,7 @@
     /// What a call that failed for a moment left undone, and how long it rests.
     postponed: Postponed,
     postponed_rest: Duration,
-    wires: Wires,
+    connections: ConnectionTable,
     wall_clock: WallClock,
     /// When nobody waited at the listener.
     listener_empty_at: Instant,
@@ -89,14 +89,14 @@
     /// The socket that other routers send to.
     peers: Option<Rc<UdpSocket>>,
     /// What the sockets told and has not been looked at yet: members' answers stand before clients' statements.
-    told: VecDeque<ConnId>,
+    ready_queue: VecDeque<ConnId>,
     /// Clients that have left, as the sockets told just now.
     left: Vec<ConnId>,
     /// Events looked at before the reducer has its turn.
     budget: usize,
     effects: Vec<Effect>,
     /// Events came since the last turn.
-    stirred: bool,
+    has_pending: bool,
     longest_wait: Duration,
     standstill: Duration,
     /// When the loop was to be awake at the latest.
@@ -109,7 +109,7 @@
 
 /// Serves until it is told to stop.
 pub fn run(launch: Launch, operator: Option<PathBuf>) -> Result<(), String> {
-    let Sources { mut event_loop, wires, listener, token, peers } = open_patiently(&launch)?;
+    let Sources { mut event_loop, connections, listener, token, peers } = open_patiently(&launch)?;
     let handle = event_loop.handle();
     let name = launch.fixed.name.clone();
     let address = launch.fixed.listen;
@@ -136,22 +136,22 @@
         operator,
         unread_launch: None,
         reread,
-        looks: Looks::new(),
+        usage: ResourceUsage::new(),
         short_rest,
         reads,
         unfinished: Vec::new(),
         postponed: Postponed::default(),
         postponed_rest,
-        wires,
+        connections,
         wall_clock: WallClock::default(),
         listener_empty_at: Instant::now(),
         harvested: false,
         peers,
-        told: VecDeque::new(),
+        ready_queue: VecDeque::new(),
         left: Vec::new(),
         budget,
         effects: Vec::new(),
-        stirred: false,
+        has_pending: false,
         longest_wait: longest,
         standstill,
         awake_by: None,
@@ -166,14 +166,14 @@
         }
         // What the effects brought about has its turn at once.
         let wait = match front.reducer.wake() {
-            _ if front.stirred || !front.unfinished.is_empty() || !front.told.is_empty() => {
+            _ if front.has_pending || !front.unfinished.is_empty() || !front.ready_queue.is_empty() => {
                 Some(Duration::ZERO)
             }
             wake => wake.map(|at| Duration::from_nanos((at - front.clock.now()).nanos().max(0) as u64)),
         };
         let wait = wait.map_or(longest, |wait| wait.min(longest));
         let wait = if front.postponed.is_empty() { wait } else { wait.min(postponed_rest) };
-        front.look_at_itself();
+        front.sample_usage();
         front.awake_by = Some(Instant::now() + wait);
         let unfinished = std::mem::take(&mut front.unfinished);
         let began = Instant::now();
@@ -182,7 +182,7 @@
             Ok(()) => {
                 failing_since = None;
                 if !front.harvested {
-                    front.wires.was_quiet(began);
+                    front.connections.was_quiet(began);
                 }
             }
             Err(fault) => {
@@ -193,8 +193,8 @@
                 front.go_without_the_loop(&fault);
             }
         }
-        front.looks.awake = front.looks.awake.or_else(|| Some(Instant::now()));
-        front.look_at_told();
+        front.usage.awake = front.usage.awake.or_else(|| Some(Instant::now()));
+        front.handle_ready();
         unfinished.into_iter().for_each(|id| front.read(id, true));
         front.resume();
     }
@@ -205,7 +205,7 @@
 /// All that the loop waits for.
 struct Sources {
     event_loop: EventLoop<'static, Front>,
-    wires: Wires,
+    connections: ConnectionTable,
     listener: Rc<TcpListener>,
     token: RegistrationToken,
     /// The socket of the messages between routers.
@@ -241,7 +241,7 @@
     let event_loop: EventLoop<'static, Front> =
         EventLoop::try_new().map_err(of_loop).map_err(named("event loop"))?;
     let handle = event_loop.handle();
-    let wires = Wires::new().map_err(named("event loop"))?;
+    let connections = ConnectionTable::new().map_err(named("event loop"))?;
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]);
     let signals = signals.map_err(of_loop).map_err(named("signals"))?;
     let inserted = handle.insert_source(signals, |event, (), front: &mut Front| match event.signal() {
@@ -260,13 +260,13 @@
         Ok(PostAction::Continue)
     });
     let token = inserted.map_err(|fault| of_loop(fault.error)).map_err(named("listener"))?;
-    let source = Generic::new(wires.set(), Interest::READ, Mode::Level);
+    let source = Generic::new(connections.set(), Interest::READ, Mode::Level);
     let inserted = handle.insert_source(source, |_, _, front: &mut Front| {
         front.harvest();
         Ok(PostAction::Continue)
     });
     inserted.map_err(|fault| of_loop(fault.error)).map_err(named("event loop"))?;
-    Ok(Sources { event_loop, wires, listener, token, peers })
+    Ok(Sources { event_loop, connections, listener, token, peers })
 }
 
 /// Opens the socket of the messages between routers.
@@ -277,7 +277,7 @@
         let socket = Rc::new(socket);
         let source = Generic::new(socket.clone(), Interest::READ, Mode::Level);
         let inserted = handle.insert_source(source, |_, _, front: &mut Front| {
-            front.hear_peers();
+            front.receive_datagrams();
             Ok(PostAction::Continue)
         });
         inserted.map_err(|fault| of_loop(fault.error))?;
@@ -306,7 +306,7 @@
 impl Front {
     /// The first event of a batch that comes long after the loop was to be awake shows that it stood still.
     fn check_standstill(&mut self) {
-        self.looks.awake.get_or_insert_with(Instant::now);
+        self.usage.awake.get_or_insert_with(Instant::now);
         let late = self.awake_by.take().map(|by| Instant::now().saturating_duration_since(by));
         if let Some(late) = late.filter(|&late| late >= self.standstill) {
             self.apply(Event::StoodStill(Span::from_nanos((late + self.longest_wait).as_nanos() as i64)));
@@ -335,19 +335,19 @@
 
     fn harvest(&mut self) {
         self.check_standstill();
-        self.hear_sockets();
+        self.poll_connections();
     }
 
     /// Takes what the sockets tell. An answer ends work that is under way, a statement begins some: so answers of
     /// members come first. Guards members against RPCs whose clients have left: their ends stand behind nothing, however
     /// many there are, and whether or not there is room for what they sent before; nothing of that is begun.
-    fn hear_sockets(&mut self) {
+    fn poll_connections(&mut self) {
         self.harvested = true;
-        let (told, left) = (&mut self.told, &mut self.left);
-        let taken = self.wires.harvest(|id, teller| match teller {
-            Teller::Member => told.push_front(id),
-            Teller::Client => told.push_back(id),
-            Teller::LeftClient => left.push(id),
+        let (told, left) = (&mut self.ready_queue, &mut self.left);
+        let taken = self.connections.harvest(|id, source| match source {
+            EventSource::Member => told.push_front(id),
+            EventSource::Client => told.push_back(id),
+            EventSource::ClosedClient => left.push(id),
         });
         if let Err(fault) = taken {
             tracing::error!("event loop: {fault}");
@@ -359,9 +359,9 @@
 
     /// Guards timers, deadlines and members' answers against a batch that would hold the loop for long: past the
     /// budget the reducer has its turn, and the rest is looked at after it.
-    fn look_at_told(&mut self) {
+    fn handle_ready(&mut self) {
         for _ in 0..self.budget {
-            let Some(id) = self.told.pop_front() else { return };
+            let Some(id) = self.ready_queue.pop_front() else { return };
             self.ready(id);
         }
     }
@@ -397,23 +397,23 @@
     }
 
     /// Hands over what this turn of the loop took and, now and then, what the process uses.
-    fn look_at_itself(&mut self) {
+    fn sample_usage(&mut self) {
         let Some(due) = self.reducer.look_due() else { return };
-        let busy = self.looks.awake.take().map_or(Duration::ZERO, |awake| awake.elapsed());
-        self.looks.busy += busy;
-        let stirred = self.stirred;
-        self.apply(Event::Worked(Span::from_nanos(busy.as_nanos() as i64), self.told.len()));
+        let busy = self.usage.awake.take().map_or(Duration::ZERO, |awake| awake.elapsed());
+        self.usage.busy += busy;
+        let has_pending = self.has_pending;
+        self.apply(Event::Worked(Span::from_nanos(busy.as_nanos() as i64), self.ready_queue.len()));
         if self.clock.now() >= due {
-            let sample = self.looks.take(self.wires.len());
+            let sample = self.usage.take(self.connections.len());
             self.apply(Event::Looked(sample));
         }
-        self.stirred = stirred;
+        self.has_pending = has_pending;
         self.carry_out();
     }
 
     fn apply(&mut self, event: Event) {
         let now = self.clock.now();
-        self.stirred = !matches!(event, Event::Turn);
+        self.has_pending = !matches!(event, Event::Turn);
         let effects = self.reducer.apply(now, event);
         self.effects.extend(effects);
     }
@@ -438,7 +438,7 @@
             // Guards members against RPCs whose clients left while the batch, or the turn, was worked on: the sockets are
             // looked at once more right before attempts begin, all at once. What has not been written is taken back.
             if self.begins() {
-                self.hear_sockets();
+                self.poll_connections();
             }
             for effect in std::mem::take(&mut self.effects) {
                 match effect {
@@ -457,12 +457,12 @@
 
     /// Is something to be written to a member?
     fn begins(&self) -> bool {
-        let to_member = |effect: &Effect| matches!(effect, Effect::Write(id) if self.wires.get(*id).is_some_and(|w| w.ours));
+        let to_member = |effect: &Effect| matches!(effect, Effect::Write(id) if self.connections.get(*id).is_some_and(|w| w.ours));
         self.effects.iter().any(to_member)
     }
 
     /// Guards against a flood: so many datagrams a turn. Whose words count is not this loop's to say.
-    fn hear_peers(&mut self) {
+    fn receive_datagrams(&mut self) {
         let Some(socket) = self.peers.clone() else { return };
         let mut room = [0; 2048];
         for _ in 0..self.budget {
@@ -601,16 +601,18 @@
             tracing::debug!("no TCP_NODELAY: {fault}");
         }
         let quiet_until = if ours { Instant::now() } else { self.listener_empty_at };
-        self.wires.add(id, Wire::new(stream, ours, quiet_until)).map_err(|(wire, fault)| (wire.stream, fault))
+        self.connections
+            .add(id, Connection::new(stream, ours, quiet_until))
+            .map_err(|(connection, fault)| (connection.stream, fault))
     }
 
     fn ready(&mut self, id: ConnId) {
-        let Some((ready, wire)) = self.wires.take(id) else { return };
-        let ours = wire.ours;
-        if wire.coming {
-            match wire.stream.take_error() {
+        let Some((ready, connection)) = self.connections.take(id) else { return };
+        let ours = connection.ours;
+        if connection.connecting {
+            match connection.stream.take_error() {
                 Ok(None) if ready.writable => {
-                    wire.coming = false;
+                    connection.connecting = false;
                     self.apply(Event::Connected(id));
                 }
                 Ok(None) => return,
@@ -635,18 +637,21 @@
     /// room, or no go left, the reducer is told once the socket is read to its end after all.
     fn read(&mut self, id: ConnId, on: bool) {
         for _ in 0..self.reads {
-            let Some(wire) = self.wires.get_mut(id).filter(|wire| !wire.coming) else { return };
+            let Some(connection) = self.connections.get_mut(id).filter(|connection| !connection.connecting)
+            else {
+                return;
+            };
             let room = self.reducer.room(id);
             if room.is_empty() {
-                wire.unread = true;
+                connection.unread = true;
                 return;
             }
             let wanted = room.len();
             let asked_at = Instant::now();
-            let emptied = match wire.read(room) {
+            let emptied = match connection.read(room) {
                 Ok((0, _)) => return self.apply(Event::Closed(id)),
                 Ok((count, stamp)) => {
-                    let quiet_until = wire.quiet_until;
+                    let quiet_until = connection.quiet_until;
                     let waited = stamp.map_or(Span::ZERO, |stamp| self.waited(stamp, quiet_until));
                     self.apply(Event::Received(id, count, waited));
                     count < wanted && !on
@@ -654,16 +659,16 @@
                 Err(fault) if fault.kind() == ErrorKind::WouldBlock => true,
                 Err(fault) if fault.kind() == ErrorKind::Interrupted => false,
                 Err(fault) if is_passing(&fault) => {
-                    wire.unread = true;
+                    connection.unread = true;
                     self.postponed.reads.push(id);
                     return self.apply(Event::Unread(id));
                 }
                 Err(_) => return self.apply(Event::Closed(id)),
             };
             if emptied {
-                let was_unread = self.wires.get_mut(id).is_some_and(|wire| {
-                    wire.quiet_until = asked_at;
-                    std::mem::take(&mut wire.unread)
+                let was_unread = self.connections.get_mut(id).is_some_and(|connection| {
+                    connection.quiet_until = asked_at;
+                    std::mem::take(&mut connection.unread)
                 });
                 if was_unread {
                     self.apply(Event::Drained(id));
@@ -671,8 +676,8 @@
                 return;
             }
         }
-        if let Some(wire) = self.wires.get_mut(id) {
-            wire.unread = true;
+        if let Some(connection) = self.connections.get_mut(id) {
+            connection.unread = true;
             self.apply(Event::Unread(id));
             self.unfinished.push(id);
         }
@@ -694,12 +699,15 @@
     /// Writes all that there is, as far as the socket takes it.
     fn write(&mut self, id: ConnId) {
         loop {
-            let Some(wire) = self.wires.get_mut(id).filter(|wire| !wire.coming) else { return };
+            let Some(connection) = self.connections.get_mut(id).filter(|connection| !connection.connecting)
+            else {
+                return;
+            };
             let bytes = self.reducer.outgoing(id);
             if bytes.is_empty() {
                 return;
             }
-            match wire.stream.write(bytes) {
+            match connection.stream.write(bytes) {
                 Ok(count) => self.apply(Event::Written(id, count)),
                 Err(fault) if fault.kind() == ErrorKind::WouldBlock => return self.apply(Event::Stuck(id)),
                 Err(fault) if fault.kind() == ErrorKind::Interrupted => {}
@@ -711,14 +719,14 @@
     }
 
     fn close(&mut self, id: ConnId) {
-        if self.wires.remove(id) && self.short.take().is_some() {
+        if self.connections.remove(id) && self.short.take().is_some() {
             self.enable_listener(self.listening);
         }
     }
 }
 
-/// Looks at the process: what it has used since the last one.
-struct Looks {
+/// ResourceUsage at the process: what it has used since the last one.
+struct ResourceUsage {
     /// Since when the loop has not been waiting.
     awake: Option<Instant>,
     busy: Duration,
@@ -731,9 +739,9 @@
 const OTHERS: usize = 10;
 const PAGE: usize = 4096;
 
-impl Looks {
-    fn new() -> Looks {
-        Looks {
+impl ResourceUsage {
+    fn new() -> ResourceUsage {
+        ResourceUsage {
             awake: None,
             busy: Duration::ZERO,
             at: Instant::now(),
@@ -743,7 +751,7 @@
         }
     }
 
-    fn take(&mut self, wires: usize) -> Sample {
+    fn take(&mut self, connections: usize) -> Sample {
         let (at, cpu) = (Instant::now(), cpu());
         let span = |time: Duration| Span::from_nanos(time.as_nanos() as i64);
         let sample = Sample {
@@ -752,7 +760,7 @@
             cpu: span(cpu.saturating_sub(self.cpu)),
             resident: self.resident().unwrap_or(0),
             rings: 0,
-            descriptors: wires + OTHERS,
+            descriptors: connections + OTHERS,
             waiting: 0,
         };
         (self.at, self.cpu) = (at, cpu);
