--- a/crates/ladderpass/src/sockets.rs
+++ b/crates/ladderpass/src/sockets.rs
@@ -6,27 +6,28 @@
 
 use crate::arrival::WallClock;
 use crate::connection_table::{Connection, ConnectionTable, EventSource};
-use crate::failures::{Postponed, is_passing, is_short, passes_at_start};
+use crate::failures::{Postponed, is_passing, is_short};
 use crate::launch::Launch;
 use crate::limits::Reread;
 use crate::reducer::{ConnId, Effect, Event, Reducer};
-use calloop::generic::Generic;
-use calloop::signals::{Signal, Signals};
-use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use calloop::{LoopHandle, RegistrationToken};
 use ladderpass_core::{Span, Time};
-use ladderpass_overload::Sample;
-use nix::sys::resource::{UsageWho, getrusage};
-use nix::sys::time::TimeValLike;
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::VecDeque;
-use std::fs::File;
 use std::io::{self, ErrorKind, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::os::unix::fs::FileExt;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+#[path = "sockets/resource_usage.rs"]
+mod resource_usage;
+#[path = "sockets/start.rs"]
+mod start;
+
+use resource_usage::ResourceUsage;
+use start::{Sources, open_patiently};
+
 /// One reading of the wall clock, and the monotonic one from there: a time that can't jump.
 struct Clock {
     origin: Time,
@@ -202,107 +203,6 @@
     Ok(())
 }
 
-/// All that the loop waits for.
-struct Sources {
-    event_loop: EventLoop<'static, Front>,
-    connections: ConnectionTable,
-    listener: Rc<TcpListener>,
-    token: RegistrationToken,
-    /// The socket of the messages between routers.
-    peers: Option<Rc<UdpSocket>>,
-}
-
-/// What could not be opened, and why.
-struct Unopened {
-    what: String,
-    fault: io::Error,
-}
-
-/// Guards a start against calls that fail for a moment, and against an address whose last holder is about to end.
-fn open_patiently(launch: &Launch) -> Result<Sources, String> {
-    let until = Instant::now() + launch.limits.start_tries;
-    loop {
-        match open_sources(launch) {
-            Ok(sources) => return Ok(sources),
-            Err(Unopened { what, fault }) if passes_at_start(&fault) && Instant::now() < until => {
-                tracing::warn!("{what}: {fault}; tried again");
-                std::thread::sleep(launch.limits.start_rest);
-            }
-            Err(Unopened { what, fault }) => return Err(format!("{what}: {fault}")),
-        }
-    }
-}
-
-fn open_sources(launch: &Launch) -> Result<Sources, Unopened> {
-    let named = |what: &str| {
-        let what = what.to_owned();
-        move |fault: io::Error| Unopened { what, fault }
-    };
-    let event_loop: EventLoop<'static, Front> =
-        EventLoop::try_new().map_err(of_loop).map_err(named("event loop"))?;
-    let handle = event_loop.handle();
-    let connections = ConnectionTable::new().map_err(named("event loop"))?;
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]);
-    let signals = signals.map_err(of_loop).map_err(named("signals"))?;
-    let inserted = handle.insert_source(signals, |event, (), front: &mut Front| match event.signal() {
-        Signal::SIGHUP => front.read_again(),
-        _ => front.apply(Event::Terminate),
-    });
-    inserted.map_err(|fault| of_loop(fault.error)).map_err(named("signals"))?;
-    let peers = launch.operator.peers.as_ref().map(|peers| open_peers(&handle, peers.listen)).transpose()?;
-    let address = launch.fixed.listen;
-    let listener =
-        listen(address, launch.limits.backlog).map_err(named(&format!("RELAY_LISTEN: {address}")))?;
-    let listener = Rc::new(listener);
-    let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
-    let inserted = handle.insert_source(source, |_, _, front: &mut Front| {
-        front.accept();
-        Ok(PostAction::Continue)
-    });
-    let token = inserted.map_err(|fault| of_loop(fault.error)).map_err(named("listener"))?;
-    let source = Generic::new(connections.set(), Interest::READ, Mode::Level);
-    let inserted = handle.insert_source(source, |_, _, front: &mut Front| {
-        front.harvest();
-        Ok(PostAction::Continue)
-    });
-    inserted.map_err(|fault| of_loop(fault.error)).map_err(named("event loop"))?;
-    Ok(Sources { event_loop, connections, listener, token, peers })
-}
-
-/// Opens the socket of the messages between routers.
-fn open_peers(handle: &LoopHandle<'static, Front>, own: SocketAddr) -> Result<Rc<UdpSocket>, Unopened> {
-    let open = || -> io::Result<Rc<UdpSocket>> {
-        let socket = UdpSocket::bind(own)?;
-        socket.set_nonblocking(true)?;
-        let socket = Rc::new(socket);
-        let source = Generic::new(socket.clone(), Interest::READ, Mode::Level);
-        let inserted = handle.insert_source(source, |_, _, front: &mut Front| {
-            front.receive_datagrams();
-            Ok(PostAction::Continue)
-        });
-        inserted.map_err(|fault| of_loop(fault.error))?;
-        Ok(socket)
-    };
-    open().map_err(|fault| Unopened { what: format!("peers.listen: {own}"), fault })
-}
-
-/// The system's own error, where the loop hands one on.
-fn of_loop(fault: calloop::Error) -> io::Error {
-    match fault {
-        calloop::Error::IoError(fault) => fault,
-        other => io::Error::other(other),
-    }
-}
-
-fn listen(address: SocketAddr, backlog: i32) -> io::Result<TcpListener> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_reuse_address(true)?;
-    socket.set_nonblocking(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(backlog)?;
-    Ok(socket.into())
-}
-
 impl Front {
     /// The first event of a batch that comes long after the loop was to be awake shows that it stood still.
     fn check_standstill(&mut self) {
@@ -725,63 +625,6 @@
     }
 }
 
-/// ResourceUsage at the process: what it has used since the last one.
-struct ResourceUsage {
-    /// Since when the loop has not been waiting.
-    awake: Option<Instant>,
-    busy: Duration,
-    at: Instant,
-    cpu: Duration,
-    statm: Option<File>,
-}
-
-/// Descriptors that are no connections: the standard streams, the loop's own, signals, listener, this file.
-const OTHERS: usize = 10;
-const PAGE: usize = 4096;
-
-impl ResourceUsage {
-    fn new() -> ResourceUsage {
-        ResourceUsage {
-            awake: None,
-            busy: Duration::ZERO,
-            at: Instant::now(),
-            cpu: cpu(),
-            // Where it can't be read, memory of the rings alone tells.
-            statm: File::open("/proc/self/statm").ok(),
-        }
-    }
-
-    fn take(&mut self, connections: usize) -> Sample {
-        let (at, cpu) = (Instant::now(), cpu());
-        let span = |time: Duration| Span::from_nanos(time.as_nanos() as i64);
-        let sample = Sample {
-            wall: span(at - self.at),
-            busy: span(std::mem::take(&mut self.busy)),
-            cpu: span(cpu.saturating_sub(self.cpu)),
-            resident: self.resident().unwrap_or(0),
-            rings: 0,
-            descriptors: connections + OTHERS,
-            waiting: 0,
-        };
-        (self.at, self.cpu) = (at, cpu);
-        sample
-    }
-
-    fn resident(&self) -> Option<usize> {
-        let mut text = [0; 128];
-        let count = self.statm.as_ref()?.read_at(&mut text, 0).ok()?;
-        let text = std::str::from_utf8(text.get(..count)?).ok()?;
-        Some(text.split_whitespace().nth(1)?.parse::<usize>().ok()? * PAGE)
-    }
-}
-
-/// CPU time that this process has used.
-fn cpu() -> Duration {
-    let Ok(usage) = getrusage(UsageWho::RUSAGE_SELF) else { return Duration::ZERO };
-    let micros = usage.user_time().num_microseconds() + usage.system_time().num_microseconds();
-    Duration::from_micros(micros.max(0) as u64)
-}
-
 /// Two clocks that were read within this are taken for read at once.
 const READ_TOGETHER: Duration = Duration::from_millis(1);
 
