--- a/crates/ladderpass-core/src/reference_clock.rs
+++ b/crates/ladderpass-core/src/reference_clock.rs
@@ -1,10 +1,12 @@
-//! How far this router's clock may differ from the one that all machines read, by the positions that members tell.
+//! How far this router's clock may differ from the one that all machines read, by the positions that members
+//! tell.
 //!
-//! A router reads its wall clock once, at its start, and goes by the monotonic clock from there; one that starts while
-//! its wall clock is stepped is off for good. A position is a point in time that has passed: one that is ahead of the
-//! router's clock shows that this is behind, and the newest of all shows by how much it can be ahead at the most. An
-//! error leads to fresher data and a slower start: a clock that may be behind asks for newer positions, and one that may
-//! be ahead takes members that have started for colder. It reads no clock, and decides nothing about an RPC.
+//! A router reads its wall clock once, at its start, and goes by the monotonic clock from there; one that starts
+//! while its wall clock is stepped is off for good. A position is a point in time that has passed: one that is
+//! ahead of the router's clock shows that this is behind, and the newest of all shows by how much it can be ahead
+//! at the most. An error leads to fresher data and a slower start: a clock that may be behind asks for newer
+//! positions, and one that may be ahead takes members that have started for colder. It reads no clock, and
+//! decides nothing about an RPC.
 
 use crate::time::{Span, Time};
 use std::collections::VecDeque;
@@ -69,6 +71,7 @@
         }
     }
 
+    /// What the positions told so far, and lately, allow.
     pub fn difference(&self, now: Time) -> ClockDifference {
         let recent = self.leads.iter().filter(|(at, _)| now - *at <= SUSPECTED).map(|&(_, lead)| lead);
         let behind = recent.max().unwrap_or(Span::ZERO).max(self.confirmed);
