--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -37,7 +37,7 @@
 const LONG_GONE: Span = Span::from_millis(1000);
 /// Staleness that reads without a bound start at.
 const ANY_BOUND: Span = Span::from_millis(30_000);
-/// An answer is taken for lost on the way from then on: a write may be committed, and its session must see it.
+/// An answer is taken for lost on the way from then on: a write may be committed; its session must see it.
 const KNOWN: Span = Span::from_millis(100);
 /// How long a fresh router holds RPCs for the first answers.
 const FIRST_ANSWERS: Span = Span::from_millis(300);
--- a/crates/ladderpass-core/src/reference_clock.rs
+++ b/crates/ladderpass-core/src/reference_clock.rs
@@ -1,19 +1,20 @@
 //! How far this router's clock may differ from the one that all machines read, by the positions that members
 //! tell.
 //!
-//! A router reads its wall clock once, at its start, and goes by the monotonic clock from there; one that starts
-//! while its wall clock is stepped is off for good. A position is a point in time that has passed: one that is
-//! ahead of the router's clock shows that this is behind, and the newest of all shows by how much it can be ahead
-//! at the most. An error leads to fresher data and a slower start: a clock that may be behind asks for newer
-//! positions, and one that may be ahead takes members that have started for colder. It reads no clock, and
-//! decides nothing about an RPC.
+//! A router reads its wall clock once, at its start, and goes by the monotonic clock from there; one that
+//! starts while its wall clock is stepped is off for good. A position is a point in time that has passed: one
+//! that is ahead of the router's clock shows that this is behind, and the newest of all shows by how much it
+//! can be ahead at the most. An error leads to fresher data and a slower start: a clock that may be behind
+//! asks for newer positions, and one that may be ahead takes members that have started for colder. It reads no
+//! clock, and decides nothing about an RPC.
 
 use crate::time::{Span, Time};
 use std::collections::VecDeque;
 
 /// Clocks that read the same differ by less than this; positions are told in whole milliseconds.
 const SAME: Span = Span::from_millis(50);
-/// So many positions, that differ by no more than this, show how far the clock is behind; one alone may be spoilt.
+/// So many positions, that differ by no more than this, show how far the clock is behind; one alone may be
+/// spoilt.
 const WITNESSES: usize = 3;
 const AGREE: Span = Span::from_millis(250);
 /// A position ahead of the clock that no others confirm counts for this long.
