--- a/crates/ladderpass-core/src/reference_clock.rs
+++ b/crates/ladderpass-core/src/reference_clock.rs
@@ -5,8 +5,8 @@
 //! starts while its wall clock is stepped is off for good. A position is a point in time that has passed: one
 //! that is ahead of the router's clock shows that this is behind, and the newest of all shows by how much it
 //! can be ahead at the most. An error leads to fresher data and a slower start: a clock that may be behind
-//! asks for newer positions, and one that may be ahead takes members that have started for colder. It reads no
-//! clock, and decides nothing about an RPC.
+//! asks for newer positions, and one that may be ahead takes members that have started for colder. It reads
+//! no clock, and decides nothing about an RPC.
 
 use crate::time::{Span, Time};
 use std::collections::VecDeque;
