Soak: a request on a connection that was refused was never taken

Ruled out: a router that still had connections open (its listener closes at 0.6 s). Lines at fault: load.rs, send_wants hands RPCs to connections that are still to come up; where nobody listens any more they are refused, and the load saw that after the kill.

--- a/crates/ladderpass-lab/src/load.rs
+++ b/crates/ladderpass-lab/src/load.rs
@@ -129,6 +129,8 @@
     pub answered: Option<(Time, Answer, Option<u64>)>,
     /// When its connection ended before that.
     pub lost: Option<Time>,
+    /// That connection never came up: nobody listened.
+    pub refused: bool,
 }
 
 impl Default for Plan {
@@ -645,9 +647,10 @@
         client.dirty = true;
         let Want { due, method, until, repeats } = want;
         if self.plan.journal && !flood {
-            let (answered, lost) = (None, None);
+            let (answered, lost, refused) = (None, None, false);
             let router = client.router;
-            self.outcome.journal.push(Entry { number, router, method, sent: at, until, answered, lost });
+            let entry = Entry { number, router, method, sent: at, until, answered, lost, refused };
+            self.outcome.journal.push(entry);
         }
         client.out.push_back(Out { number, method, due, until, repeats, flood, over: false });
         if !flood {
@@ -665,7 +668,7 @@
                     return;
                 }
                 Err(fault) if fault.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return self.lost(index),
+                Err(fault) => return self.lost(index, fault.kind() == ErrorKind::ConnectionRefused),
             }
         }
         client.output.clear();
@@ -685,7 +688,7 @@
                 return;
             }
             match client.stream.read(chunk) {
-                Ok(0) => return self.lost(index),
+                Ok(0) => return self.lost(index, false),
                 Ok(count) => {
                     client.input.extend_from_slice(&chunk[..count]);
                     self.answers(index);
@@ -695,19 +698,19 @@
                 }
                 Err(fault) if fault.kind() == ErrorKind::WouldBlock => return,
                 Err(fault) if fault.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return self.lost(index),
+                Err(fault) => return self.lost(index, fault.kind() == ErrorKind::ConnectionRefused),
             }
         }
     }
 
     /// The router has ended a connection: what was out on it has no answer. A new one takes its place.
-    fn lost(&mut self, index: usize) {
+    fn lost(&mut self, index: usize, refused: bool) {
         let Some(client) = self.clients[index].take() else { return };
         let at = now();
         let alone = self.front.routers.len() == 1;
         for out in client.out {
             if let Some(entry) = self.entry(out.number) {
-                entry.lost = Some(at);
+                (entry.lost, entry.refused) = (Some(at), refused);
             }
             if !out.flood {
                 self.outstanding -= 1;
