--- a/crates/ladderpass/src/reducer/watch.rs
+++ b/crates/ladderpass/src/reducer/watch.rs
@@ -57,9 +57,10 @@
             let Some(conn) = self.conns.get_mut(&id) else { return };
             let Peer::Discovery(reader) = &mut conn.peer else { return };
             match reader.next(&mut conn.input, self.limits.list_line) {
+                // A late call keeps the time that it has left.
+                Ok(None) if self.late_watch == Some(id) => return,
                 // Guards against a call that is answered with a head, or the beginning of a list, and no more: it may
                 // take as long as a watch may be silent, and goes on within the time of a first answer.
-                Ok(None) if self.late_watch == Some(id) => return,
                 Ok(None) if !self.has_answered(id) => {
                     let most = self.asked_at + self.limits.watch_silence;
                     return self.set_deadline(id, Some(most.min(now + self.limits.watch_answer)));
--- a/crates/ladderpass/src/sockets.rs
+++ b/crates/ladderpass/src/sockets.rs
@@ -271,7 +271,7 @@
     fn read_again(&mut self) {
         let now = Instant::now();
         self.unread_launch = None;
-        match Launch::read(|key| std::env::var(key).ok(), self.operator.as_deref()) {
+        match self.read_launch() {
             Ok(launch) => self.apply(Event::Told(Box::new(launch))),
             Err(faults) => {
                 faults.lines().for_each(|fault| tracing::error!("told anew, kept as it was: {fault}"));
@@ -280,6 +280,10 @@
         }
     }
 
+    fn read_launch(&self) -> Result<Launch, String> {
+        Launch::read(|key| std::env::var(key).ok(), self.operator.as_deref())
+    }
+
     /// Tries once more what could not be read; its faults were told.
     fn read_once_more(&mut self) {
         let now = Instant::now();
@@ -288,8 +292,7 @@
             self.unread_launch = None;
         } else if now - unread.tried_at >= self.reread.rest {
             unread.tried_at = now;
-            let read = Launch::read(|key| std::env::var(key).ok(), self.operator.as_deref());
-            if let Ok(launch) = read {
+            if let Ok(launch) = self.read_launch() {
                 self.unread_launch = None;
                 self.apply(Event::Told(Box::new(launch)));
             }
--- a/crates/ladderpass/tests/soak.rs
+++ b/crates/ladderpass/tests/soak.rs
@@ -110,10 +110,13 @@
 
 /// Statements that a router has lost, by the pages: for each the reason.
 fn lost(entry: &Entry, crowded: bool, term: Time, kill: Time) -> Option<&'static str> {
-    // One on a connection that nobody took in was never taken.
-    if entry.answered.is_some() || entry.refused || entry.sent >= kill {
+    if entry.answered.is_some() || entry.sent >= kill {
         return None;
     }
+    // One on a connection that nobody took in was never taken; only a router that stops lets none in.
+    if entry.refused {
+        return (entry.sent < term).then_some("refused before the stop");
+    }
     match entry.lost {
         Some(at) if at < kill => {
             let crossing = (crowded || at >= term) && at - entry.sent <= CROSSING;
