Log why RPCs are given up and why reads spill: counts and a few examples, with reasons

Change: the core types why an RPC was given up and why each member was passed over (ladderpass-core/src/reasons.rs); the router adds counts of both to its line of counts and tells up to eight examples between two of these (reducer/tally.rs, which takes the counts out of reducer.rs). No decision changes: the conditions are those of before, each with a name.

--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -3,6 +3,7 @@
 //! `tend` follows each batch of calls. Types at the door are in `interface.rs`; the clock is what `now` says.
 
 use crate::interface::*;
+use crate::reasons::{Counts, Exception, GiveUpReason, Ineligible, PrimaryState, Unserved};
 use crate::reference_clock::ClockDifference;
 use crate::ring::Ring;
 use crate::state::{Fleet, Member, Row, Sessions, Slots};
@@ -219,8 +220,15 @@
         let too_late = now + needed >= self.wanted_by(rpc);
         let kept = state.callouts == 0 && now >= state.taken + (state.arrival.due - state.taken) * HELD_PART;
         let out_of_time = kept || now + self.deployment.tick * 2.0 >= state.arrival.due;
-        if !may_run || too_late || out_of_time || state.callouts >= self.deployment.callouts_cap {
-            return self.give_up(now, rpc);
+        let no_attempt_left = state.callouts >= self.deployment.callouts_cap;
+        let hopeless = [
+            (!may_run, GiveUpReason::MayHaveRun),
+            (no_attempt_left, GiveUpReason::NoAttemptLeft),
+            (too_late, GiveUpReason::TooLate),
+            (out_of_time, GiveUpReason::OutOfTime),
+        ];
+        if let Some(&(_, reason)) = hopeless.iter().find(|(holds, _)| *holds) {
+            return self.give_up(now, rpc, reason);
         }
         // A fresh router waits for the first answers; its list may be old.
         if !group.heard && self.deployment.probes_tell && now - self.started < FIRST_ANSWERS {
@@ -246,9 +254,14 @@
         let mut chance = self.chance.clone();
         // The next pick among those that no news speaks for, and whether one is being asked.
         let (mut unsure, mut asked): (Option<(f64, f64, usize)>, bool) = (None, false);
+        let mut passed_over = Counts::default();
         for &index in if primary_only { &[][..] } else { &group.members } {
             let member = self.fleet.member(index);
-            if Some(index) == group.primary || !self.usable(now, index, rpc) {
+            if Some(index) == group.primary {
+                continue;
+            }
+            if let Some(reason) = self.ineligible(now, index, rpc) {
+                passed_over.add(reason);
                 continue;
             }
             let next = -(1.0 - chance.generate::<f64>()).ln() * row.usual.secs();
@@ -261,6 +274,7 @@
                 _ => member.position >= needs,
             };
             if !passes {
+                passed_over.add(Ineligible::Stale);
                 asked |= member.probe_sent.map_or(member.probe_at <= now, |sent| now - sent < ASK_WAIT);
                 if member.probe_sent.is_none()
                     && level != Level::Any
@@ -273,8 +287,13 @@
                 continue;
             }
             let share = spare * self.headroom(now, member, needs);
-            if best.is_none_or(|least| key < least) && self.room(now, index, rpc, share) {
+            if best.is_some_and(|least| key >= least) {
+                continue;
+            }
+            if self.room(now, index, rpc, share) {
                 best = Some(key);
+            } else {
+                passed_over.add(Ineligible::NoRoom);
             }
         }
         let mut picked = best.map(|(_, _, index)| index);
@@ -286,11 +305,12 @@
         if picked.is_none()
             && !waits
             && let Some(index) = group.primary
-            && self.usable(now, index, rpc)
-            && self.fleet.member(index).misses == 0
-            && self.room(now, index, rpc, share)
+            && self.primary_ineligible(now, index, rpc, share).is_none()
         {
             picked = Some(index);
+            if !primary_only {
+                self.tell_exception(now, rpc, Exception::Spilled(passed_over));
+            }
         }
         self.chance = chance;
         if let (None, Some(index)) = (picked, ask) {
@@ -298,7 +318,7 @@
         }
         match picked {
             Some(index) => self.call_out(now, rpc, index),
-            None if repeat && !waits => self.give_up(now, rpc),
+            None if repeat && !waits => self.give_up(now, rpc, GiveUpReason::NothingIdle),
             None => self.hold(rpc),
         }
     }
@@ -362,7 +382,9 @@
     }
 
     /// The final answer of an RPC that will not be served here.
-    fn give_up(&mut self, now: Time, rpc: Rpc) -> Decision {
+    fn give_up(&mut self, now: Time, rpc: Rpc, reason: GiveUpReason) -> Decision {
+        let primary = self.primary_state(now, rpc);
+        self.tell_exception(now, rpc, Exception::GivenUp { reason, primary });
         let (state, row) = (&self.rpcs[rpc], self.row(rpc));
         let harmless = match row.method.effect {
             Effect::Idempotent => true,
@@ -375,6 +397,29 @@
         if harmless { Decision::PushBack { come_back } } else { Decision::Abort }
     }
 
+    /// For the log: could the primary have got this RPC?
+    fn primary_state(&self, now: Time, rpc: Rpc) -> PrimaryState {
+        let group = self.fleet.groups.get(self.rpcs[rpc].arrival.group as usize);
+        let Some(index) = group.and_then(|group| group.primary) else { return PrimaryState::Unknown };
+        let level = self.row(rpc).method.level;
+        let share = if matches!(level, Level::Fresh | Level::Write) { 1.0 } else { READ_SHARE };
+        let ineligible = self.primary_ineligible(now, index, rpc, share);
+        ineligible.map_or(PrimaryState::Eligible, PrimaryState::Ineligible)
+    }
+
+    /// For the log: this RPC did not go by the ordinary path.
+    fn tell_exception(&mut self, now: Time, rpc: Rpc, what: Exception) {
+        let state = &self.rpcs[rpc];
+        self.upkeep.exceptions.add(Unserved {
+            group: state.arrival.group,
+            method: state.arrival.method,
+            attempts: state.callouts,
+            waited: now - state.taken,
+            left: state.arrival.due - now,
+            what,
+        });
+    }
+
     /// When a client that is refused may come back, spread by chance: also one whose RPC was never taken.
     pub fn come_back(&mut self) -> Span {
         self.deployment.longest_come_back * (COME_BACK * (0.5 + self.chance.generate::<f64>()))
@@ -389,18 +434,42 @@
         &self.rows[self.rpcs[rpc].arrival.method as usize]
     }
 
-    /// May this RPC go to it now? Not where it would be answered too late; with nothing out that fades soon.
-    fn usable(&self, now: Time, index: usize, rpc: Rpc) -> bool {
+    /// Why this RPC can't go to it now: among others, where it would be answered too late; with nothing out that fades
+    /// soon.
+    fn ineligible(&self, now: Time, index: usize, rpc: Rpc) -> Option<Ineligible> {
         let member = self.fleet.member(index);
         let (state, usual) = (&self.rpcs[rpc], self.row(rpc).usual);
         let (count, sum) = member.stretch.last(now, if member.out.is_empty() { 2 } else { 4 });
         let own = (sum + STAND_IN * self.crowding(now, member)) / (count + STAND_IN);
         let own = own.max(self.way(now, member.zone));
-        member.standing == Standing::On
-            && member.misses < MISSES_TO_DROP
-            && now + usual * (own * MARGIN) < self.wanted_by(rpc)
-            && !(state.tried.contains(&index) && now - state.ended < usual)
-            && self.warm_enough(now, index, rpc)
+        if member.standing != Standing::On {
+            return Some(Ineligible::NotListed);
+        }
+        if member.misses >= MISSES_TO_DROP {
+            return Some(Ineligible::Ejected);
+        }
+        if now + usual * (own * MARGIN) >= self.wanted_by(rpc) {
+            return Some(Ineligible::TooSlow);
+        }
+        if state.tried.contains(&index) && now - state.ended < usual {
+            return Some(Ineligible::TriedBefore);
+        }
+        if !self.warm_enough(now, index, rpc) {
+            return Some(Ineligible::SlowStart);
+        }
+        None
+    }
+
+    /// The same for the primary, which gets no RPC after a single failure, and of its limit no more than this share.
+    fn primary_ineligible(&self, now: Time, index: usize, rpc: Rpc, share: f64) -> Option<Ineligible> {
+        let ineligible = self.ineligible(now, index, rpc);
+        if ineligible.is_some() {
+            return ineligible;
+        }
+        if self.fleet.member(index).misses > 0 {
+            return Some(Ineligible::Ejected);
+        }
+        (!self.room(now, index, rpc, share)).then_some(Ineligible::NoRoom)
     }
 
     /// Its last news is old, or told of a lag that it may have made up since.
@@ -966,8 +1035,13 @@
         if !outcome.ended.never_ran() {
             router.rpcs[self].risked.get_or_insert(sent);
         }
-        if outcome.ended == Ended::Void || at_fault || outcome.unpaid {
-            return router.give_up(now, self);
+        let hopeless = [
+            (outcome.ended == Ended::Void, GiveUpReason::NotMade),
+            (at_fault, GiveUpReason::AtFault),
+            (outcome.unpaid, GiveUpReason::Unpaid),
+        ];
+        if let Some(&(_, reason)) = hopeless.iter().find(|(holds, _)| *holds) {
+            return router.give_up(now, self, reason);
         }
         router.place(now, self)
     }
--- a/crates/ladderpass-core/src/interface.rs
+++ b/crates/ladderpass-core/src/interface.rs
@@ -1,5 +1,6 @@
 //! The types at the door of the decision module. Nothing here decides.
 
+use crate::reasons::Exceptions;
 use crate::time::{Span, Time};
 
 /// A member of a group, by the small index that the front gave its id.
@@ -288,6 +289,8 @@
     /// Ask for the list, and to be told of its changes.
     pub ask_list: bool,
     pub notes: Vec<String>,
+    /// What did not go by the ordinary path, and why.
+    pub exceptions: Exceptions,
     /// Members that are known no more: an index among these may be given to another.
     pub forgotten: Vec<MemberId>,
     pub wake: Option<Time>,
--- a/crates/ladderpass-core/src/lib.rs
+++ b/crates/ladderpass-core/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod decide;
 pub mod interface;
+pub mod reasons;
 pub mod reference_clock;
 pub mod ring;
 mod state;
--- a/crates/ladderpass/src/reducer.rs
+++ b/crates/ladderpass/src/reducer.rs
@@ -33,6 +33,8 @@
 mod own;
 #[path = "reducer/peers.rs"]
 mod peers;
+#[path = "reducer/tally.rs"]
+mod tally;
 #[path = "reducer/watch.rs"]
 mod watch;
 
@@ -41,6 +43,7 @@
 use members::{Answer, Job, Link, Member};
 use own::Own;
 use peers::Peers;
+use tally::{Tally, count};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ConnId(pub u64);
@@ -125,29 +128,6 @@
     Discovery(Reader),
 }
 
-/// What the log tells now and then.
-#[derive(Default)]
-struct Tally {
-    taken: u32,
-    pushed_back: u32,
-    aborted: u32,
-    left: u32,
-    cancelled: u32,
-    /// Statements turned away for a fault of their own, for want of connections, and for the bound of RPCs held.
-    faults: u32,
-    crowded: u32,
-    full: u32,
-    /// Refused for the router's own load, and closed as they read nothing.
-    shed: u32,
-    slow: u32,
-    ended: [u32; 9],
-    probes: [u32; 9],
-    connects: u32,
-    connect_time: Span,
-    answer_time: Span,
-    told_at: Time,
-}
-
 /// What the figures tell since they were told last.
 #[derive(Default)]
 struct Figured {
@@ -504,6 +484,7 @@
         for note in upkeep.notes {
             tracing::info!("{}", self.names.named(&note));
         }
+        self.tell_exceptions(upkeep.exceptions);
         self.core_wake = upkeep.wake;
         self.mind_the_door();
         // Not before what the sockets tell next: a client may have left while it was answered.
@@ -518,40 +499,6 @@
         }
     }
 
-    fn tell_tally(&mut self, now: Time) {
-        self.tell_peers();
-        let (answers, answer_time) = self.answers();
-        let tally = std::mem::replace(&mut self.tally, Tally { told_at: now, ..Tally::default() });
-        tracing::info!(
-            "taken {}, pushed back {}, aborted {}, left {}, cancelled {}, faulty {}, crowded {}, full {}, shed {}, slow {}; call-outs (ok, failed, overloaded, timed out, unreachable, \
-             broken, withdrawn, void, absent) {:?}, probes {:?}; {} connects of {:.1} ms, ok in {:.1} ms; \
-             {} clients ({:?} are waited for: to open, to end, to begin), {} links ({} carry an RPC), {} members, {} rpcs, \
-             {} KiB",
-            tally.taken,
-            tally.pushed_back,
-            tally.aborted,
-            tally.left,
-            tally.cancelled,
-            tally.faults,
-            tally.crowded,
-            tally.full,
-            tally.shed,
-            tally.slow,
-            tally.ended,
-            tally.probes,
-            tally.connects,
-            tally.connect_time.secs() * 1e3 / f64::from(tally.connects.max(1)),
-            answer_time.secs() * 1e3 / f64::from(answers.max(1)),
-            self.clients,
-            self.waiting.each_ref().map(BTreeSet::len),
-            self.links,
-            self.carrying().1,
-            self.members(),
-            self.calls.len(),
-            self.rings >> 10,
-        );
-    }
-
     // ---- connections of any kind
 
     fn open(&mut self, id: ConnId, deadline: Option<Time>, peer: Peer) {
@@ -888,9 +835,3 @@
 fn moment(ms: f64) -> Time {
     Time::from_nanos((ms * 1e6) as i64)
 }
-
-fn count(counts: &mut [u32; 9], ended: Ended) {
-    if let Some(count) = counts.get_mut(ended as usize) {
-        *count += 1;
-    }
-}
