Failing test: nobody listens where a router is about to start; stand-ins have a file

Symptom: the first connection of a test ended before its welcome (told_anew_..., large_values_...). Cause, shown by the log lines at the test's top: an address was found free by listening on it; a child that another thread was starting inherited that listener until it became its own program, and took the client's connection.

--- a/crates/ladderpass/tests/bed/mod.rs
+++ b/crates/ladderpass/tests/bed/mod.rs
@@ -76,7 +76,7 @@
         .replace("[\"bounded\",\"write\"]", "[\"any\",\"write\"]");
     let told = file(&change(told));
     let discovery = listener();
-    let address = TcpListener::bind(own_address()).and_then(|l| l.local_addr()).expect("a port").to_string();
+    let address = router_address();
     let mut command = Command::new(env!("CARGO_BIN_EXE_ladderpass"));
     command.env("RELAY_NAME", "n0").env("RELAY_LISTEN", &address).env("RUST_LOG", "warn");
     let found = discovery.local_addr().expect("an address").to_string();
--- a/crates/ladderpass/tests/common/mod.rs
+++ b/crates/ladderpass/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! What the router's tests share: what it is told at start, statements, and frames taken apart.
 #![allow(dead_code)]
 
+pub mod stand_ins;
+
 use std::io::Read;
 use std::net::TcpStream;
 use std::path::PathBuf;
@@ -55,8 +57,7 @@
     path
 }
 
-/// A free port of the system's choice, on an address of the caller's own: no stand-in and no other test can get it in
-/// between.
+/// A free port of the system's choice, on an address of the caller's own, for a stand-in that keeps it.
 pub fn own_address() -> String {
     static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(1);
     let nth = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
@@ -64,6 +65,11 @@
     format!("127.{}.{}.{nth}:0", 1 + pid / 250 % 250, pid % 250)
 }
 
+/// Where a router that is about to start listens: nobody else gets it in between.
+pub fn router_address() -> String {
+    ladderpass_lab::router::own_address().expect("a port").to_string()
+}
+
 pub fn statement(id: &str, method: &str, wait_ms: u64, group: &str) -> String {
     let comment = format!("/* id={id},c={method},d={wait_ms},cluster={group} */");
     match method {
--- a/crates/ladderpass/tests/failing_calls.rs
+++ b/crates/ladderpass/tests/failing_calls.rs
@@ -191,8 +191,7 @@
     fn start(failures: &[Failure], discovery: &TcpListener) -> Lone {
         let start = failing::start(failures, &[]);
         let config = file(&told(&[]));
-        let address = TcpListener::bind(common::own_address()).and_then(|own| own.local_addr());
-        let address = address.expect("a port").to_string();
+        let address = common::router_address();
         let mut command = Command::new(&start.binary);
         command.args(&start.arguments).envs(start.variables).stdout(Stdio::null());
         command.env("RELAY_NAME", "n0").env("RELAY_LISTEN", &address).env("RELAY_CONFIG", &config);
--- a/crates/ladderpass/tests/ready.rs
+++ b/crates/ladderpass/tests/ready.rs
@@ -210,20 +210,14 @@
     let told = Arc::new(told_in_groups(&members.addresses, sockets));
     let silent = TcpListener::bind(own_address()).expect("a port");
     let silent = (silent.local_addr().expect("an address").to_string(), Some(silent));
-    let down = TcpListener::bind(own_address()).and_then(|l| l.local_addr()).expect("a port").to_string();
-    // Some of one address, which nobody else uses: all are held until each has its own.
-    let first = TcpListener::bind(own_address()).expect("a port");
-    let ip = first.local_addr().expect("an address").ip();
-    let held: Vec<_> = (0..count).map(|_| TcpListener::bind((ip, 0)).expect("a port")).collect();
-    let ports: Vec<String> =
-        held.iter().map(|port| port.local_addr().expect("an address").to_string()).collect();
-    drop(held);
+    let down = router_address();
+    let addresses: Vec<String> = (0..count).map(|_| router_address()).collect();
     for (what, (discovery, _)) in [("down", &(down, None)), ("silent", &silent)] {
         let before = members.probes.load(Ordering::Relaxed);
         let starts: Vec<_> = (0..count)
             .map(|nth| {
                 let (binary, told, discovery) = (binary.clone(), told.clone(), discovery.clone());
-                let address = ports[nth].clone();
+                let address = addresses[nth].clone();
                 thread::spawn(move || start(nth, &binary, &told, &discovery, address))
             })
             .collect();
