An address for a router is found free without listening on it

Change: the check binds and never listens (lab/src/router.rs, check_free). All tests that start a router take their address from it.

--- a/crates/ladderpass-lab/src/router.rs
+++ b/crates/ladderpass-lab/src/router.rs
@@ -7,8 +7,9 @@
 use nix::sched::{CpuSet, sched_getaffinity, sched_setaffinity};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
+use socket2::{Domain, Protocol, Socket, Type};
 use std::io::{self, BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -77,14 +78,25 @@
         let nth = NEXT.fetch_add(1, Ordering::Relaxed);
         let port = PORTS.start + pid.wrapping_mul(509).wrapping_add(nth) % (PORTS.end - PORTS.start);
         let own = format!("127.{}.{}.{}:{port}", 1 + pid / 250 % 250, pid % 250, 1 + nth % 250);
-        match TcpListener::bind(&own).and_then(|_| UdpSocket::bind(&own)) {
-            Ok(socket) => return socket.local_addr(),
+        let own: SocketAddr = own.parse().map_err(io::Error::other)?;
+        match check_free(own) {
+            Ok(()) => return Ok(own),
             Err(taken) => fault = Some(taken),
         }
     }
     Err(fault.unwrap_or_else(|| io::Error::other("no port is free")))
 }
 
+/// Is an address free, for TCP and for UDP? It is bound and never listened on: a child that another thread is starting
+/// inherits the socket until it becomes its own program, and a listener would take connections there that nobody serves.
+fn check_free(address: SocketAddr) -> io::Result<()> {
+    let stream = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    // As the router does: bound sockets with it don't bar each other while none listens.
+    stream.set_reuse_address(true)?;
+    stream.bind(&address.into())?;
+    UdpSocket::bind(address).map(drop)
+}
+
 fn file(text: &str, ending: &str) -> io::Result<PathBuf> {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let nth = NEXT.fetch_add(1, Ordering::Relaxed);
