--- a/crates/ladderpass/tests/common/stand_ins.rs
+++ b/crates/ladderpass/tests/common/stand_ins.rs
@@ -132,7 +132,7 @@
 pub fn router_before(
     members: &[String],
     heard: Receiver<(usize, String)>,
-    change: fn(String) -> String,
+    change: impl Fn(String) -> String,
 ) -> Router {
     let told = file(&change(told(members)));
     let address = router_address();
--- /dev/null
+++ b/crates/ladderpass/tests/late_connections.rs
@@ -0,0 +1,81 @@
+//! Reads whose connection to a member comes up after more than a tick.
+//!
+//! What happened: beside 16 busy processes about every other run of `end_to_end` failed (119 of 255): a read went to the
+//! primary while two replicas stood, and a read with 30 s left got an error at once. Why: a bounded read that has waited
+//! for its connection for more than a tick must be decided anew, as its data may be too old by then. It was counted as an
+//! attempt that the member had answered with "absent", so that member was passed over for the time of an answer, and of
+//! the six attempts that the settings allow one was gone. A busy machine makes connections that late. What showed it, in
+//! the log of such runs: "call-out member=1 ended=Absent took_ms=11.7", "call-out member=2 ended=Absent took_ms=11.8",
+//! "read spilled to the primary past replicas: 2 tried before; 2 attempts in 31 ms, 29968 ms left"; and "read given up: no
+//! attempt left; primary: tried before; 6 attempts in 501 ms, 29498 ms left". No member of these tests answers "absent".
+
+mod common;
+
+use common::stand_ins::*;
+use common::*;
+use std::io::Write;
+use std::sync::mpsc::channel;
+use std::thread;
+use std::time::Duration;
+
+/// A tick of these settings is 5 ms.
+const COMES_UP_AFTER: Duration = Duration::from_millis(30);
+const ANSWERS_AFTER: Duration = Duration::from_millis(100);
+/// Connections that rest are closed after 0.8 of this, and all have been after that rest.
+const IDLE: &str = "\"ConnIdle\":50000000";
+const REST: Duration = Duration::from_millis(100);
+/// At once: fewer than a member may have in flight before more is known of it.
+const READS: usize = 2;
+
+/// A router before a primary and a replica whose connections come up late.
+fn router_before_a_late_replica(attempts: &str) -> Router {
+    let answer: Answer = |n, _| {
+        thread::sleep(ANSWERS_AFTER);
+        Some(row(b"v", role(n), now_ms()))
+    };
+    let (sender, heard) = channel();
+    let members = [
+        member(0, answer, sender.clone()),
+        member_welcoming_after(COMES_UP_AFTER, 1, answer, sender.clone()),
+    ];
+    let change = |told: String| {
+        let told = told.replace("\"ConnIdle\":15000000000", IDLE);
+        told.replace("\"AttemptsCap\":6", attempts)
+    };
+    router_before(&members, heard, change)
+}
+
+/// Reads at once, for which there is no connection: each is answered, and these members got them.
+fn members_asked_by(router: &Router, reads: usize) -> Vec<usize> {
+    let mut clients: Vec<_> = (0..reads).map(|_| router.client()).collect();
+    // The replica is known to be up to date from here on.
+    assert_eq!(ask(&mut clients[0], &statement("first", "read", 30_000, "1")).0, b"TDCZ");
+    router.heard.recv().expect("a member was asked");
+    thread::sleep(REST);
+    for (nth, client) in clients.iter_mut().enumerate() {
+        let read = query(&statement(&nth.to_string(), "read", 30_000, "1"));
+        client.write_all(&read).expect("the router reads");
+    }
+    for client in &mut clients {
+        let kinds: Vec<u8> =
+            std::iter::from_fn(|| next_frame(client)).map(|(kind, _)| kind).take(4).collect();
+        assert_eq!(kinds, b"TDCZ");
+    }
+    router.heard.try_iter().map(|(n, _)| n).collect()
+}
+
+#[test]
+fn a_read_goes_to_its_replica_once_the_connection_is_up() {
+    let router = router_before_a_late_replica("\"AttemptsCap\":6");
+    let asked = members_asked_by(&router, READS);
+    assert_eq!(asked.len(), READS, "each was sent once");
+    assert!(!asked.contains(&0), "a read went to the primary: {asked:?}");
+}
+
+/// What was never sent is no attempt: the one that the settings allow is left.
+#[test]
+fn a_connection_that_comes_up_late_uses_up_no_attempt() {
+    let router = router_before_a_late_replica("\"AttemptsCap\":1");
+    let asked = members_asked_by(&router, READS);
+    assert_eq!(asked.len(), READS, "each was sent once");
+}
