A read whose connection is up late is sent where its decision still holds

Cause, from the log (late_connections.rs has the lines): a bounded read that had waited for its connection for more than a tick was handed back as 'absent' (members.rs, send), which counted as an attempt and kept the member out for the time of an answer. Ruled out by the same lines: ejection (no member was ejected), a full queue, a short deadline (29.5 s left), no news of the replicas ('tried before', not 'stale'). Change: the core says whether the decision still holds (still_holds); where it does, the read is sent. Else the attempt ends as Expired: never sent, no attempt, nothing about the member; the RPC is decided anew.

--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -209,12 +209,7 @@
         let (state, row) = (&self.rpcs[rpc], self.row(rpc));
         let group_index = state.arrival.group as usize;
         let group = &self.fleet.groups[group_index];
-        // No effect twice, also since one that may have run; a repeat has the way and a queue ahead of it.
-        let may_run = match (row.method.effect, state.risked) {
-            (Effect::Idempotent, _) | (_, None) => true,
-            (Effect::Tokened { window, .. }, Some(first)) => now + row.usual * MARGIN - first < window,
-            (Effect::NonIdempotent, Some(_)) => false,
-        };
+        let may_run = self.may_run(now, rpc);
         // A call-out made now would end when its answer earns nothing any more, or when the client has gone.
         let needed = if state.callouts > 0 || state.held { row.usual } else { Span::ZERO };
         let too_late = now + needed >= self.wanted_by(rpc);
@@ -237,15 +232,7 @@
         }
         let level = row.method.level;
         let primary_only = matches!(level, Level::Fresh | Level::Write);
-        let needs = match level {
-            // A front may take a tick until its last byte is sent, from which the bound counts.
-            Level::Bounded(bound) => self.present(now) + self.deployment.tick - bound,
-            Level::Session => {
-                let known = now - KNOWN;
-                state.written.max(self.sessions.written(state.arrival.session, known, self.present(known)))
-            }
-            _ => Time::NEVER,
-        };
+        let needs = self.needs(now, rpc);
         // The filter and the pick: fewest in flight among the replicas that pass, ties in turn.
         let mut best: Option<(f64, f64, usize)> = None;
         // A marked repeat competes with first tries, more wanted than it: it gets what is idle.
@@ -323,6 +310,42 @@
         }
     }
 
+    /// No effect twice, also since one that may have run; a repeat has the way and a queue ahead of it.
+    fn may_run(&self, now: Time, rpc: Rpc) -> bool {
+        let (state, row) = (&self.rpcs[rpc], self.row(rpc));
+        match (row.method.effect, state.risked) {
+            (Effect::Idempotent, _) | (_, None) => true,
+            (Effect::Tokened { window, .. }, Some(first)) => now + row.usual * MARGIN - first < window,
+            (Effect::NonIdempotent, Some(_)) => false,
+        }
+    }
+
+    /// The least position of a replica that a read may go to now.
+    fn needs(&self, now: Time, rpc: Rpc) -> Time {
+        let state = &self.rpcs[rpc];
+        match self.row(rpc).method.level {
+            // A front may take a tick until its last byte is sent, from which the bound counts.
+            Level::Bounded(bound) => self.present(now) + self.deployment.tick - bound,
+            Level::Session => {
+                let known = now - KNOWN;
+                state.written.max(self.sessions.written(state.arrival.session, known, self.present(known)))
+            }
+            _ => Time::NEVER,
+        }
+    }
+
+    /// May an attempt that has waited for its connection still be made there? Guards reads against members that were
+    /// passed over for a connection that came up late, while what is known of them was as good as before.
+    pub fn still_holds(&self, now: Time, rpc: Rpc, member: MemberId) -> bool {
+        if self.rpcs.get(rpc).is_none() || !self.serves(member) || !self.may_run(now, rpc) {
+            return false;
+        }
+        let (index, state) = (member.0 as usize, &self.rpcs[rpc]);
+        let primary = self.fleet.groups[state.arrival.group as usize].primary;
+        let primary_only = matches!(self.row(rpc).method.level, Level::Fresh | Level::Write);
+        primary == Some(index) || !primary_only && self.fleet.member(index).position >= self.needs(now, rpc)
+    }
+
     fn ask_all(&mut self, now: Time, group: usize) {
         self.fleet.groups[group].members.clone().into_iter().for_each(|index| self.ask(now, index));
     }
@@ -988,7 +1011,7 @@
                 member.failures.add(now, 1.0);
                 self.missed(now, index, false);
             }
-            Ended::Failed | Ended::Withdrawn | Ended::Void => {}
+            Ended::Failed | Ended::Withdrawn | Ended::Void | Ended::Expired => {}
         }
         let mut stretch = 0.0;
         if matches!(outcome.ended, Ended::Ok | Ended::TimedOut) && !lost {
--- a/crates/ladderpass-core/src/interface.rs
+++ b/crates/ladderpass-core/src/interface.rs
@@ -205,12 +205,19 @@
     Void,
     /// Turned away without effect: not the primary, or too far behind.
     Absent,
+    /// Never sent: its connection was up too late for the decision to hold. It tells nothing of the member, and is no
+    /// attempt.
+    Expired,
 }
 
 impl Ended {
+    /// How many ways to end there are.
+    pub const COUNT: usize = Ended::Expired as usize + 1;
+
     /// It proves that the RPC never ran.
     pub fn never_ran(self) -> bool {
-        matches!(self, Ended::Void | Ended::Unreachable | Ended::Overloaded | Ended::Absent)
+        use Ended::{Absent, Expired, Overloaded, Unreachable, Void};
+        matches!(self, Void | Unreachable | Overloaded | Absent | Expired)
     }
 }
 
--- a/crates/ladderpass-core/src/state.rs
+++ b/crates/ladderpass-core/src/state.rs
@@ -437,6 +437,10 @@
     /// A call-out has ended. Gives the members that failed it before another has served it.
     pub fn came_back(&mut self, now: Time, index: usize, ended: Ended) -> Vec<usize> {
         self.out = self.out.saturating_sub(1);
+        if ended == Ended::Expired {
+            self.callouts = self.callouts.saturating_sub(1);
+            return Vec::new();
+        }
         self.ended = now;
         self.tried.push(index);
         if ended == Ended::Failed {
@@ -480,6 +484,11 @@
     }
 
     /// The RPC of a handle; None once its slot has been given back.
+    pub fn get(&self, rpc: Rpc) -> Option<&State> {
+        self.states.get(rpc.slot as usize).filter(|state| state.turn == rpc.turn)
+    }
+
+    /// The same, to be changed.
     pub fn find(&mut self, rpc: Rpc) -> Option<&mut State> {
         self.states.get_mut(rpc.slot as usize).filter(|state| state.turn == rpc.turn)
     }
--- a/crates/ladderpass/src/reducer/calls.rs
+++ b/crates/ladderpass/src/reducer/calls.rs
@@ -25,6 +25,8 @@
     /// Its id, as the ids that are open have it.
     pub(super) name: u64,
     pub(super) outs: u32,
+    /// The retry budget knows of the first of them.
+    pub(super) begun: bool,
     /// A further one is paid for and not made yet.
     pub(super) paid: bool,
     /// Where `d` stands in its statement.
@@ -69,7 +71,8 @@
         let Some(call) = self.calls.get_mut(&rpc) else { return };
         call.outs += 1;
         call.paid = false;
-        if let (1, Some(peers)) = (call.outs, &mut self.peers) {
+        let first = !std::mem::replace(&mut call.begun, true);
+        if let (true, Some(peers)) = (first, &mut self.peers) {
             peers.first(call.group);
         }
         let until = call.due - self.limits.answer;
@@ -130,7 +133,10 @@
             self.tally.answer_time += outcome.took;
         }
         outcome.complete = outcome.ended == Ended::Ok || answered;
-        if let Some(peers) = &mut self.peers {
+        if outcome.ended == Ended::Expired {
+            // No attempt was made: the retry budget pays for none after it.
+            call.outs = call.outs.saturating_sub(1);
+        } else if let Some(peers) = &mut self.peers {
             if outcome.ended == Ended::Ok && call.outs > 1 {
                 peers.helped(call.group);
             } else if !outcome.complete && outcome.ended != Ended::Void && !over {
--- a/crates/ladderpass/src/reducer/clients.rs
+++ b/crates/ladderpass/src/reducer/clients.rs
@@ -673,6 +673,7 @@
                 rank,
                 name,
                 outs: 0,
+                begun: false,
                 paid: false,
                 wait_at,
                 out: None,
--- a/crates/ladderpass/src/reducer/members.rs
+++ b/crates/ladderpass/src/reducer/members.rs
@@ -149,6 +149,7 @@
     pub(super) fn send(&mut self, now: Time, id: ConnId) {
         let Some(Conn { peer: Peer::Member(link), .. }) = self.conns.get(&id) else { return };
         let (job, until, waited) = (link.job, link.until, now - link.begun);
+        let member = MemberId(link.member as u32);
         let mut query = Vec::new();
         match job {
             None => return,
@@ -161,8 +162,9 @@
                 // second effect: repeats that were dropped then may not be any more.
                 let repeats =
                     call.may_have_run && self.tokened.get(call.method as usize).copied().unwrap_or(false);
-                if (call.bounded || repeats) && waited > self.limits.sent_within {
-                    return self.release(now, id, Ended::Absent);
+                let late = (call.bounded || repeats) && waited > self.limits.sent_within;
+                if late && !self.router.still_holds(now, rpc, member) {
+                    return self.release(now, id, Ended::Expired);
                 }
                 let client = call.client.and_then(|client| self.conns.get_mut(&client));
                 let Some(client) = client else { return self.release(now, id, Ended::Withdrawn) };
--- a/crates/ladderpass/src/reducer/tally.rs
+++ b/crates/ladderpass/src/reducer/tally.rs
@@ -21,8 +21,8 @@
     /// Refused for the router's own load, and closed as they read nothing.
     pub(super) shed: u32,
     pub(super) slow: u32,
-    pub(super) ended: [u32; 9],
-    pub(super) probes: [u32; 9],
+    pub(super) ended: [u32; Ended::COUNT],
+    pub(super) probes: [u32; Ended::COUNT],
     pub(super) connects: u32,
     pub(super) connect_time: Span,
     pub(super) answer_time: Span,
@@ -42,7 +42,7 @@
         let tally = std::mem::replace(&mut self.tally, Tally { told_at: now, ..Tally::default() });
         tracing::info!(
             "taken {}, pushed back {}, aborted {}, left {}, cancelled {}, faulty {}, crowded {}, full {}, shed {}, slow {}; call-outs (ok, failed, overloaded, timed out, unreachable, \
-             broken, withdrawn, void, absent) {:?}, probes {:?}; {} connects of {:.1} ms, ok in {:.1} ms; \
+             broken, withdrawn, void, absent, expired) {:?}, probes {:?}; {} connects of {:.1} ms, ok in {:.1} ms; \
              {} clients ({:?} are waited for: to open, to end, to begin), {} links ({} carry an RPC), {} members, {} rpcs, \
              {} KiB; given up: {}; {} reads spilled past replicas: {}",
             tally.taken,
@@ -115,7 +115,7 @@
     }
 }
 
-pub(super) fn count(counts: &mut [u32; 9], ended: Ended) {
+pub(super) fn count(counts: &mut [u32; Ended::COUNT], ended: Ended) {
     if let Some(count) = counts.get_mut(ended as usize) {
         *count += 1;
     }
