Who makes place for a newcomer is read once more before it is closed

Cause, as the reducer's test shows: take() of a newcomer's first statement asks is_crowded, which parts with those that have rested; see_off right behind it closed them in the same turn, before the read that part_with asks for. To a router that stood still for 0.2 s all of its clients have rested that long. reach() parts with clients in the same place. Change: see_off closes those alone that were parted with before the turn, whose sockets have been read since (reducer.rs, clients.rs). stalls.rs failed before.

--- a/crates/ladderpass/src/reducer.rs
+++ b/crates/ladderpass/src/reducer.rs
@@ -443,9 +443,10 @@
     }
 
     fn turn(&mut self, now: Time) {
+        let looked_at = self.parting.len();
         // Guards against statements begun for clients that have left: all that the batch read, ends too, comes first.
         self.look_at_ready(now);
-        self.see_off(now);
+        self.see_off(now, looked_at);
         self.connect_again();
         while let Some(&(at, id)) = self.looks.first()
             && at <= now
--- a/crates/ladderpass/src/reducer/clients.rs
+++ b/crates/ladderpass/src/reducer/clients.rs
@@ -222,8 +222,11 @@
         self.effects.push(Effect::Read(id));
     }
 
-    pub(super) fn see_off(&mut self, now: Time) {
-        for (id, waiting) in std::mem::take(&mut self.parting) {
+    /// Closes those whose sockets were looked at once more, so many. Guards what came while the router stood still
+    /// against those that make place in this very turn: their sockets were not looked at since.
+    pub(super) fn see_off(&mut self, now: Time, looked_at: usize) {
+        let later = self.parting.split_off(looked_at.min(self.parting.len()));
+        for (id, waiting) in std::mem::replace(&mut self.parting, later) {
             if let Some(Conn { peer: Peer::Client(client), .. }) = self.conns.get(&id)
                 && client.waiting.is_some()
                 && client.waiting == waiting
