A client that makes place, or leaves with a stop, is closed right behind its last look

Cause: closes decided in one turn stand in a row, each behind the others' (see_off and client_waits), and whatever comes meanwhile is not read. The same hole was open to a stall anywhere between the last look at a socket and its close. Change: the reducer asks for CloseIfQuiet; the loop reads that socket to its end, says Quiet and closes at once, with no other call in between; what came is served. The answers of a stopping router are followed by such a look too, where they were by a close. No bound changed.

--- a/crates/ladderpass-lab/src/capacity/data_path/world.rs
+++ b/crates/ladderpass-lab/src/capacity/data_path/world.rs
@@ -354,6 +354,10 @@
                     Effect::Connect(id, address) => self.connects(id, address),
                     Effect::Write(id) => stirred |= self.write(id),
                     Effect::Close(id) => self.closes(id),
+                    Effect::CloseIfQuiet(id) => {
+                        let effects = self.reducer.apply(self.now, Event::Quiet(id));
+                        self.effects.extend(effects);
+                    }
                     Effect::Read(_)
                     | Effect::Accept(_)
                     | Effect::Datagrams
--- a/crates/ladderpass-lab/src/capacity/hollow.rs
+++ b/crates/ladderpass-lab/src/capacity/hollow.rs
@@ -643,6 +643,14 @@
                         self.push(self.now, What::Bytes(router, life, id, Vec::new()));
                     }
                 }
+                Effect::CloseIfQuiet(id) => {
+                    let pending = |line: &Line| !line.pending.is_empty();
+                    let quiet = !self.routers[router].lines.get(&id).is_some_and(pending);
+                    let Some(reducer) = &mut self.routers[router].reducer else { return };
+                    if quiet {
+                        effects.extend(reducer.apply(self.now, Event::Quiet(id)));
+                    }
+                }
                 Effect::Close(id) => {
                     self.routers[router].lines.remove(&id);
                     self.routers[router].idle.retain(|&idle| idle != id);
--- a/crates/ladderpass/src/reducer.rs
+++ b/crates/ladderpass/src/reducer.rs
@@ -59,6 +59,8 @@
     /// There is more at its socket than one go reads; and, once that or a full ring was so, it was read to its end.
     Unread(ConnId),
     Drained(ConnId),
+    /// It was read once more for `CloseIfQuiet`; what it held was told before.
+    Quiet(ConnId),
     /// So many bytes of `outgoing` were written.
     Written(ConnId, usize),
     /// It was ended by the other side, or never came up.
@@ -91,6 +93,8 @@
     /// There is room again.
     Read(ConnId),
     Close(ConnId),
+    /// Read it to its end, say `Quiet`, and close it at once where that asks for it.
+    CloseIfQuiet(ConnId),
     Accept(bool),
     /// There is something in `datagrams` for other routers.
     Datagrams,
@@ -196,7 +200,7 @@
     links: usize,
     /// Clients that are waited for: by `Waiting`, the longest first.
     waiting: [BTreeSet<(Time, ConnId)>; 3],
-    /// Clients that are to go at the next turn, unless something of theirs is still found at the socket.
+    /// Clients that are to go, unless something of theirs is still found at the socket.
     parting: Vec<(ConnId, Option<(Waiting, Time)>)>,
     accepting: bool,
     /// Connections that were denied, for which a client makes place; the watch, if nothing could.
@@ -411,6 +415,7 @@
             Event::Received(id, count, waited) => self.received(now, id, count, waited),
             Event::Unread(id) => self.unread(id),
             Event::Drained(id) => self.drained(now, id),
+            Event::Quiet(id) => self.quiet(now, id),
             Event::Written(id, count) => self.written(now, id, count),
             Event::Closed(id) => self.closed(now, id),
             Event::Denied(id) => self.denied(now, id),
@@ -446,7 +451,7 @@
         let looked_at = self.parting.len();
         // Guards against statements begun for clients that have left: all that the batch read, ends too, comes first.
         self.look_at_ready(now);
-        self.see_off(now, looked_at);
+        self.see_off(looked_at);
         self.connect_again();
         while let Some(&(at, id)) = self.looks.first()
             && at <= now
@@ -571,6 +576,7 @@
         match &conn.peer {
             Peer::Client(_) => {
                 self.unlooked = self.unlooked.saturating_sub(conn.input.len());
+                self.parting.retain(|&(parting, _)| parting != id);
                 self.clients -= 1;
                 if !self.accepting {
                     self.accepting = true;
@@ -620,6 +626,7 @@
         match &mut conn.peer {
             Peer::Client(client) => {
                 self.unlooked += count;
+                self.parting.retain(|&(parting, _)| parting != id);
                 // Its kernel had kept something back, and may have more.
                 let refill = now + self.limits.refill;
                 client.refill = client.refill.map(|until| if now < until { refill } else { until });
--- a/crates/ladderpass/src/reducer/clients.rs
+++ b/crates/ladderpass/src/reducer/clients.rs
@@ -130,6 +130,14 @@
     id.0 as u32
 }
 
+/// Is it still waited for, as it was when it was parted with?
+fn is_waited_for(conns: &FxHashMap<ConnId, Conn>, id: ConnId, waiting: Option<(Waiting, Time)>) -> bool {
+    match conns.get(&id) {
+        Some(Conn { peer: Peer::Client(client), .. }) => waiting.is_some() && client.waiting == waiting,
+        _ => false,
+    }
+}
+
 /// Width of those steps.
 const STEP: i64 = 128_000_000;
 
@@ -211,8 +219,8 @@
         self.clients > self.limits.clients + self.parting.len() + opening.len() + begun.len()
     }
 
-    /// Closes a client's connection at the next turn. Guards against closing on a query that has come already and was
-    /// not read yet: it is taken, and would be lost. So the socket is read once more in between.
+    /// Closes a client's connection soon. Guards against closing on a query that has come already and was not read yet:
+    /// the socket is read now, and once more right before it is closed.
     pub(super) fn part_with(&mut self, id: ConnId) {
         let Some(Conn { peer: Peer::Client(client), .. }) = self.conns.get(&id) else { return };
         if let Some((what, since)) = client.waiting {
@@ -222,17 +230,30 @@
         self.effects.push(Effect::Read(id));
     }
 
-    /// Closes those whose sockets were looked at once more, so many. Guards what came while the router stood still
-    /// against those that make place in this very turn: their sockets were not looked at since.
-    pub(super) fn see_off(&mut self, now: Time, looked_at: usize) {
-        let later = self.parting.split_off(looked_at.min(self.parting.len()));
-        for (id, waiting) in std::mem::replace(&mut self.parting, later) {
-            if let Some(Conn { peer: Peer::Client(client), .. }) = self.conns.get(&id)
-                && client.waiting.is_some()
-                && client.waiting == waiting
-            {
-                self.close_client(now, id);
-            }
+    /// Has those looked at for the last time that were parted with before this turn, so many: their sockets have been
+    /// read since. Each is closed right behind that look. Guards what came while the router stood still against those
+    /// that make place in this very turn, and against closes that wait for those of others.
+    pub(super) fn see_off(&mut self, looked_at: usize) {
+        let conns = &self.conns;
+        let mut nth = 0;
+        self.parting.retain(|(id, waiting)| {
+            nth += 1;
+            nth > looked_at || is_waited_for(conns, *id, *waiting)
+        });
+        let quiet = self.parting.iter().take(looked_at).map(|&(id, _)| Effect::CloseIfQuiet(id));
+        self.effects.extend(quiet);
+    }
+
+    /// Nothing came of the last look at a socket, or else it would not be parted with any more.
+    pub(super) fn quiet(&mut self, now: Time, id: ConnId) {
+        let Some(at) = self.parting.iter().position(|&(parting, _)| parting == id) else { return };
+        // A read that failed for a moment is made again, and with it this look.
+        if self.conns.get(&id).is_some_and(|conn| conn.unread && !conn.paused) {
+            return;
+        }
+        let (_, waiting) = self.parting.remove(at);
+        if is_waited_for(&self.conns, id, waiting) {
+            self.close_client(now, id);
         }
     }
 
@@ -534,7 +555,8 @@
             let within = if starved { self.limits.memory_wait } else { message };
             return self.set_deadline(id, Some(since + within));
         }
-        if over || stopping && client.served {
+        let leaves = stopping && client.served;
+        if over || leaves && !conn.output.is_empty() {
             return self.close_client(now, id);
         }
         // Guards against closing one, to make place, whose answer is not written yet.
@@ -553,6 +575,9 @@
         }
         self.wait_for(id, Some((Waiting::Idle, now)));
         self.set_deadline(id, Some(now + idle));
+        if leaves {
+            self.part_with(id);
+        }
     }
 
     /// Takes the RPC whose statement, of this length, stands at the front of a client's input.
--- a/crates/ladderpass/src/sockets.rs
+++ b/crates/ladderpass/src/sockets.rs
@@ -349,6 +349,7 @@
                     Effect::Write(id) => self.write(id),
                     Effect::Read(id) => self.read(id, true),
                     Effect::Close(id) => self.close(id),
+                    Effect::CloseIfQuiet(id) => self.close_if_quiet(id),
                     Effect::Accept(wanted) => self.listen(wanted),
                     Effect::Datagrams => self.send_datagrams(),
                     Effect::StopListening => self.stop_listening(),
@@ -470,13 +471,26 @@
         }
         self.apply(Event::Accepted(id));
         self.read(id, true);
-        // Guards the allowance: one that had ended at the door gives its descriptor back before the next takes one.
+        // Guards the allowance: one that had ended at the listener gives its descriptor back before the next takes one.
+        self.close_at_once(id);
+    }
+
+    /// Carries out the close of a connection, where it was asked for, before all else that was.
+    fn close_at_once(&mut self, id: ConnId) {
         if let Some(nth) = self.effects.iter().rposition(|effect| *effect == Effect::Close(id)) {
             self.effects.remove(nth);
             self.close(id);
         }
     }
 
+    /// Guards statements that came since a connection was looked at: it is read to its end, and closed with nothing done
+    /// in between.
+    fn close_if_quiet(&mut self, id: ConnId) {
+        self.read(id, true);
+        self.apply(Event::Quiet(id));
+        self.close_at_once(id);
+    }
+
     fn connect(&mut self, id: ConnId, address: SocketAddr) {
         let open = || -> io::Result<TcpStream> {
             let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
--- a/crates/ladderpass/tests/room.rs
+++ b/crates/ladderpass/tests/room.rs
@@ -155,6 +155,12 @@
                     self.listening = wanted;
                     Vec::new()
                 }
+                // A socket holds nothing beyond what was handed over; it is closed before all else that was asked for.
+                Effect::CloseIfQuiet(id) => {
+                    let asked = self.reducer.apply(self.now, Event::Quiet(id));
+                    asked.into_iter().rev().for_each(|effect| effects.push_front(effect));
+                    Vec::new()
+                }
                 _ => Vec::new(),
             };
             effects.extend(more);
--- a/crates/ladderpass/tests/rules.rs
+++ b/crates/ladderpass/tests/rules.rs
@@ -147,6 +147,7 @@
                 Effect::StopListening => self.apply(Event::Deaf),
                 // A socket holds nothing beyond what was fed.
                 Effect::Read(id) => self.apply(Event::Drained(id)),
+                Effect::CloseIfQuiet(id) => self.apply(Event::Quiet(id)),
                 Effect::Accept(_) | Effect::Datagrams => {}
             }
         }
