Test of clients that never read: they are served, whatever the machine does beside it

Cause, by the router's figures (at the test's top): pressed by its delay, the router shed the statements whose answers were to fill the sockets. The check is wrong about its premise, not about the router: its bounds stay, the delay presses from 2 s on in this test, and a new check asks that nothing was shed.

--- a/crates/ladderpass/tests/pressed.rs
+++ b/crates/ladderpass/tests/pressed.rs
@@ -67,12 +67,18 @@
     assert!(seen.outcome.come_back_ms.max() > seen.outcome.come_back_ms.min() + 10, "spread by chance");
 }
 
+/// What happened: beside 16 busy processes too few of the hundred stood in the way (0, 6 and 14, of 20 asked for). Why: the
+/// router was pressed by the delay of its loop, whose core others had, and shed the very statements whose answers were to
+/// fill their sockets. What showed it, in the figures of such a run: "own load before=calm now=shedding foremost=delay",
+/// "delay_ms 34.5, stolen 0.34, taken 200, shed 200". Shedding is what it is there for; here it takes the test's premise
+/// away. So the delay presses from 2 s on in this test alone, and none of the hundred may be shed.
 #[test]
 fn a_hundred_clients_that_never_read_are_closed_and_the_others_served() {
     let _alone = alone();
     let mut scenario = Scenario::default();
     scenario.methods[0].value_bytes = 64 << 10;
-    let mut start = start("log: {figures: 100ms}\noverload: {slow_reader: 500ms}\n");
+    let mut start =
+        start("log: {figures: 100ms}\noverload: {slow_reader: 500ms, delay: {from: 2s, full: 4s}}\n");
     start.allowed.memory_mb = 64;
     // They come first; then the others.
     let plan = Plan { slow_readers: 100, ..gentle(3, &[(3.5, 0.0), (2.5, 100.0)]) };
@@ -84,6 +90,8 @@
     // An end behind what is not read never arrives there: the router's own figures tell that they are gone.
     let slow = charts::figures(&seen.log, "slow_readers", 0.1);
     let most = slow.iter().map(|figure| figure.1).fold(0.0, f64::max);
+    let shed: f64 = charts::figures(&seen.log, "shed", 0.1).iter().map(|figure| figure.1).sum();
+    assert_eq!(shed, 0.0, "they are served, and do not read");
     assert!(most >= 20.0, "{most} of them stood in the way");
     assert_eq!(slow.last().map(|figure| figure.1), Some(0.0));
     let clients = charts::figures(&seen.log, "clients", 0.1).last().map_or(0.0, |figure| figure.1);
