Failing test: a member's connection that came up while the router stood still is not used

stalls.rs holds up a read for 400 ms while a connection comes up within its 250 ms: the router closes it and counts it as a failure of the member.

--- a/crates/ladderpass/tests/stalls.rs
+++ b/crates/ladderpass/tests/stalls.rs
@@ -1,10 +1,12 @@
 //! A router that stands still for a moment, whenever that is: nothing that it has read, or that has come to it meanwhile,
 //! is lost (rule 1).
 
+mod bed;
 mod common;
 mod failing;
 mod judge;
 
+use bed::{bed_of, listener, rest_of_answer, write};
 use common::*;
 use failing::Hold;
 use judge::{Bounds, KILL_AFTER, judge};
@@ -13,12 +15,15 @@
 use ladderpass_core::{Span, Time};
 use ladderpass_fleet::Scenario;
 use ladderpass_fleet::scenario::Allowed;
-use ladderpass_lab::bed::{self, Deed, open};
+use ladderpass_lab::bed::{Deed, open, run};
 use ladderpass_lab::load::Plan;
 use nix::sys::signal::Signal;
 use std::cell::{Cell, RefCell};
+use std::io::Write;
 use std::net::TcpStream;
-use std::time::Duration;
+use std::process::{Command, Stdio};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
 
 #[test]
 fn router_process() {
@@ -163,7 +168,7 @@
             let _ = router.signal(Signal::SIGKILL);
         }),
     ));
-    let seen = bed::run(&Scenario::default(), &start, &plan, deeds);
+    let seen = run(&Scenario::default(), &start, &plan, deeds);
     let seen = seen.unwrap_or_else(|fault| panic!("{life:?}: {fault}"));
     let (Some(term), Some(kill)) = (term.get(), kill.get()) else { panic!("{life:?}: too short") };
     // What comes while a close is under way is not read: "if that crosses a request it has not read, the client sends the
@@ -228,6 +233,66 @@
     play_rounds(0);
 }
 
+/// No member fails here, and the router stands still five times for longer than it may: each RPC is served.
+#[test]
+fn a_router_that_stands_still_blames_no_member() {
+    let mut found = Vec::new();
+    for (nth, &(call, every)) in
+        (0..).zip(&[(libc::SYS_recvmsg, 211), (libc::SYS_sendto, 173), (libc::SYS_epoll_wait, 97)])
+    {
+        let after = Duration::from_millis(500);
+        let hold = Hold { call, after, every, count: 5, lasts: Duration::from_millis(300) };
+        let start = failing::start_held(&[hold]);
+        let plan = Plan { connections: 40, deadline: DEADLINE, ..open(950 + nth, &[(3.5, 150.0)]) };
+        let seen = run(&Scenario::default(), &start, &plan, Vec::new());
+        let seen = seen.unwrap_or_else(|fault| panic!("{hold:?}: {fault}"));
+        let total = seen.outcome.total();
+        let told = |line: &&String| {
+            line.contains("given up") || line.contains("left out") || line.contains("primary")
+        };
+        let log: Vec<&String> = seen.log.iter().filter(told).collect();
+        println!("{hold:?}: {total:?}\n{log:#?}");
+        if total.ok != total.due {
+            found.push(format!("{hold:?}: {total:?}, {log:#?}"));
+        }
+    }
+    assert!(found.is_empty(), "{found:#?}");
+}
+
+/// A member's connection has 250 ms to come up, and does so in time; the router stands still meanwhile, in a read for
+/// another client, until that time is over. What came is looked at before the member is blamed: it gets the write.
+#[test]
+fn a_connection_that_came_up_while_the_router_stood_still_is_used() {
+    let began = Instant::now();
+    let until = |at_ms: u64| sleep(Duration::from_millis(at_ms).saturating_sub(began.elapsed()));
+    let (after, lasts) = (Duration::from_millis(1000), Duration::from_millis(400));
+    let hold = Hold { call: libc::SYS_recvmsg, after, every: 1, count: 1, lasts };
+    let bound = |told: String| told.replace("\"ConnectTimeout\":30000000000", "\"ConnectTimeout\":250000000");
+    let mut bed = bed_of(vec![listener(), listener()], bound, |command| held(command, &[hold]));
+    let (mut client, mut other) = (bed.client(), bed.client());
+    until(950);
+    client.write_all(&query(&write("1"))).expect("the router reads");
+    let mut link = bed.coming(0);
+    until(1080);
+    other.write_all(&query("")).expect("the router reads");
+    until(1120);
+    link.write_all(&welcome()).expect("it reads");
+    let asked = next_frame(&mut link).expect("the connection is used");
+    assert_eq!(asked.0, b'Q');
+    bed.serve(0, link);
+    assert_eq!(rest_of_answer(&mut client).0, b"TDCZ");
+    assert_eq!(rest_of_answer(&mut other).0, b"IZ");
+}
+
+/// The same command, as a router whose calls are held up.
+fn held(command: &mut Command, holds: &[Hold]) {
+    let start = failing::start_held(holds);
+    let mut held = Command::new(&start.binary);
+    held.args(&start.arguments).envs(start.variables).stdout(Stdio::null());
+    held.envs(command.get_envs().filter_map(|(key, value)| Some((key, value?))));
+    *command = held;
+}
+
 #[test]
 fn a_router_that_stands_still_before_a_crowd_loses_nothing() {
     play_rounds(60);
