--- a/crates/ladderpass/src/connection_table.rs
+++ b/crates/ladderpass/src/connection_table.rs
@@ -133,6 +133,11 @@
         self.connections.remove(&id).is_some()
     }
 
+    /// Since when what the sockets have to tell has not been asked for.
+    pub fn polled_at(&self) -> Instant {
+        self.polled_at
+    }
+
     /// The set had nothing to tell then.
     pub fn was_quiet(&mut self, at: Instant) {
         self.polled_at = self.polled_at.max(at);
--- a/crates/ladderpass/src/limits.rs
+++ b/crates/ladderpass/src/limits.rs
@@ -105,6 +105,8 @@
     /// The loop looks round at least this often, so that a standstill of the process shows; from then on it is one.
     pub longest_wait: Duration,
     pub standstill: Duration,
+    /// Sockets that were looked at longer ago than this are looked at again before any deadline counts.
+    pub looked_at_within: Duration,
     /// After SIGTERM an idle connection of a client is closed once it has rested for so long.
     pub stopping_rest: Span,
     /// After SIGTERM new connections are taken for so long, and RPCs begun: SIGKILL may come as early as the longest
@@ -182,6 +184,7 @@
             tally: Span::from_millis(10_000),
             longest_wait: Duration::from_millis(50),
             standstill: Duration::from_millis(100),
+            looked_at_within: Duration::from_millis(10),
             stopping_rest: Span::from_millis(200),
             still_accepting: Span::from_millis(600),
         }
--- a/crates/ladderpass/src/sockets.rs
+++ b/crates/ladderpass/src/sockets.rs
@@ -100,6 +100,7 @@
     has_pending: bool,
     longest_wait: Duration,
     standstill: Duration,
+    looked_at_within: Duration,
     /// When the loop was to be awake at the latest.
     awake_by: Option<Instant>,
     /// The listener rests until a connection closes, or for a while: there was no descriptor for the next
@@ -116,6 +117,7 @@
     let address = launch.fixed.listen;
     let reads = launch.limits.reads;
     let (longest, standstill) = (launch.limits.longest_wait, launch.limits.standstill);
+    let looked_at_within = launch.limits.looked_at_within;
     let budget = launch.limits.events;
     let (allowed, told) = (launch.allowance.descriptors, launch.sockets_told);
     let short_rest = Duration::from_nanos(launch.limits.denied_rest.nanos().max(0) as u64);
@@ -155,6 +157,7 @@
         has_pending: false,
         longest_wait: longest,
         standstill,
+        looked_at_within,
         awake_by: None,
         short: None,
         over: false,
@@ -332,10 +335,24 @@
         // Here too as the call that does it may have failed.
         self.enable_listener(self.listening && self.short.is_none());
         self.carry_out();
+        self.catch_up();
         self.apply(Event::Turn);
         self.carry_out();
     }
 
+    /// Guards members, and clients, against a clock that went on while this process stood still: all that came to the
+    /// sockets meanwhile is looked at before any deadline is.
+    fn catch_up(&mut self) {
+        if self.connections.polled_at().elapsed() < self.looked_at_within {
+            return;
+        }
+        self.harvest();
+        for _ in 0..=self.ready_queue.len() / self.budget {
+            self.handle_ready();
+        }
+        self.carry_out();
+    }
+
     fn carry_out(&mut self) {
         while !self.effects.is_empty() {
             // Guards members against RPCs whose clients left while the batch, or the turn, was worked on: the sockets are
