--- a/crates/ladderpass-budgets/src/lib.rs
+++ b/crates/ladderpass-budgets/src/lib.rs
@@ -172,7 +172,7 @@
     where
         I: Iterator<Item = (Told, f64)>,
     {
-        // Guards against a hoard: one that stood still earns nothing for that time.
+        // Guards against a hoard: one that stalled earns nothing for that time.
         let secs = (now - self.reckoned).secs().clamp(0.0, EVERY.secs() * 2.0);
         self.reckoned = now;
         let keeps = self.faulty == Faulty::NeverGivesBack;
--- a/crates/ladderpass-lab/src/joint.rs
+++ b/crates/ladderpass-lab/src/joint.rs
@@ -2,7 +2,7 @@
 //! fault tool beside each router, and what members saw.
 //!
 //! It owns how these accounts become events for the checkers, and what a client can't be owed: an answer of a router
-//! that was killed or stood still. It must never judge by a router's own words, nor excuse a router that runs.
+//! that was killed or stalled. It must never judge by a router's own words, nor excuse a router that runs.
 
 use crate::load::Entry;
 use ladderpass_core::{Span, Time};
--- a/crates/ladderpass-membership/src/detector.rs
+++ b/crates/ladderpass-membership/src/detector.rs
@@ -2,7 +2,7 @@
 //! itself.
 //!
 //! It owns what is under way: questions, rumours, this router's own incarnation and health. It must never take a silence
-//! for a death before the suspicion is over, nor trust its own silence while it stood still.
+//! for a death before the suspicion is over, nor trust its own silence while it stalled.
 
 use crate::message::{Incarnation, Kind, Message, State, Word, length_of};
 use crate::settings::{Faulty, Settings};
@@ -94,7 +94,7 @@
 const LOADS: usize = 64;
 /// A program of before counts as there for so long after its last word.
 const EARLIER: Span = Span::from_millis(60_000);
-/// A router that stood still for this part of a round or more doubts itself.
+/// A router that stalled for this part of a round or more doubts itself.
 const STILL: f64 = 1.6;
 
 pub struct Membership {
@@ -520,7 +520,7 @@
             return;
         }
         if gap > self.settings.every * STILL {
-            // What it has not heard while it stood still proves nothing.
+            // What it has not heard while it stalled proves nothing.
             self.probes.clear();
             self.errands.clear();
             self.table.extend(gap);
--- a/crates/ladderpass-overload/src/governor.rs
+++ b/crates/ladderpass-overload/src/governor.rs
@@ -38,7 +38,7 @@
     longest: Span,
     /// Mean length of a statement, in bytes.
     length: f64,
-    /// When the process woke from a standstill: what had come before waited for that, not for this front's work.
+    /// When the process woke from a stall: what had come before waited for that, not for this front's work.
     woke: Time,
     work: Work,
     last: Sample,
@@ -106,7 +106,7 @@
     }
 
     /// The process did not run until now.
-    pub fn stood_still(&mut self, now: Time) {
+    pub fn stalled(&mut self, now: Time) {
         self.woke = now;
     }
 
--- a/crates/ladderpass-overload/src/settings.rs
+++ b/crates/ladderpass-overload/src/settings.rs
@@ -15,7 +15,7 @@
     }
 
     /// As `part`, but quick at first: four fifths at `full`, and beyond it ever more slowly towards one. What ranks highest
-    /// is given up last, and for a jam that stays, not for the first moments of one or what a standstill has left.
+    /// is given up last, and for a jam that stays, not for the first moments of one or what a stall has left.
     pub fn bent(self, value: f64) -> f64 {
         let over = ((value - self.from) / (self.full - self.from).max(1e-9)).max(0.0);
         match over - 1.0 {
--- a/crates/ladderpass-overload/tests/front.rs
+++ b/crates/ladderpass-overload/tests/front.rs
@@ -319,7 +319,7 @@
         due += SERVE * 2.0;
     }
     front.now = woke;
-    front.governor.as_mut().expect("it watches").stood_still(at(woke));
+    front.governor.as_mut().expect("it watches").stalled(at(woke));
     front.play(5.0, |_| 0.5 / SERVE, mixed);
     assert_eq!(front.late, 0, "each is answered in its time");
     let [due, served, _] = front.sum(WRITE, 2, 4);
--- a/crates/ladderpass/src/limits.rs
+++ b/crates/ladderpass/src/limits.rs
@@ -102,9 +102,9 @@
     pub told_within: Span,
     /// How often the log tells the tally.
     pub tally: Span,
-    /// The loop looks round at least this often, so that a standstill of the process shows; from then on it is one.
+    /// The loop looks round at least this often, so that a stall of the process shows; from then on it is one.
     pub longest_wait: Duration,
-    pub standstill: Duration,
+    pub stall: Duration,
     /// Sockets that were looked at longer ago than this are looked at again before any deadline counts.
     pub looked_at_within: Duration,
     /// After SIGTERM an idle connection of a client is closed once it has rested for so long.
@@ -183,7 +183,7 @@
             told_within: Span::from_millis(6000),
             tally: Span::from_millis(10_000),
             longest_wait: Duration::from_millis(50),
-            standstill: Duration::from_millis(100),
+            stall: Duration::from_millis(100),
             looked_at_within: Duration::from_millis(10),
             stopping_rest: Span::from_millis(200),
             still_accepting: Span::from_millis(600),
--- a/crates/ladderpass/src/reducer.rs
+++ b/crates/ladderpass/src/reducer.rs
@@ -75,7 +75,7 @@
     /// The listener took all that waited, and is closed.
     Deaf,
     /// The process did not run for so long: what is read in this batch may have waited since.
-    StoodStill(Span),
+    Stalled(Span),
     /// A datagram to this router from there.
     Whispered(SocketAddr, Vec<u8>),
     /// What the router is told was read anew.
@@ -426,11 +426,11 @@
             Event::Looked(sample) => self.looked(now, sample),
             Event::Worked(busy, waiting) => self.worked(now, busy, waiting),
             Event::Deaf => self.deaf = true,
-            Event::StoodStill(span) => {
+            Event::Stalled(span) => {
                 if let Some(own) = &mut self.own {
-                    own.governor.stood_still(now);
+                    own.governor.stalled(now);
                 }
-                tracing::warn!("stood still for {:.0} ms", span.secs() * 1e3);
+                tracing::warn!("stalled for {:.0} ms", span.secs() * 1e3);
                 self.behind = span;
             }
             Event::Whispered(from, bytes) => self.whispered(now, from, &bytes),
--- a/crates/ladderpass/src/reducer/clients.rs
+++ b/crates/ladderpass/src/reducer/clients.rs
@@ -231,7 +231,7 @@
     }
 
     /// Has those looked at for the last time that were parted with before this turn, so many: their sockets have been
-    /// read since. Each is closed right behind that look. Guards what came while the router stood still against those
+    /// read since. Each is closed right behind that look. Guards what came while the router stalled against those
     /// that make place in this very turn, and against closes that wait for those of others.
     pub(super) fn see_off(&mut self, looked_at: usize) {
         let conns = &self.conns;
@@ -601,7 +601,7 @@
                 .get(&comment.group.to_bits())
                 .ok_or_else(|| ("22023", format!("unknown group {} in cluster", comment.group)))?;
             // An hour is more than any client waits, and within what a clock can add.
-            // Guards against an answer past the client's time after the process stood still.
+            // Guards against an answer past the client's time after the process stalled.
             let wait = Span::from_secs_f64(comment.wait_ms.min(3.6e6) / 1e3);
             // Guards against an answer after its client has left: its time runs from when it sent the statement, also
             // while that stood behind others. One whose time is over by then is told so at once.
--- a/crates/ladderpass/src/sockets.rs
+++ b/crates/ladderpass/src/sockets.rs
@@ -99,7 +99,7 @@
     /// Events came since the last turn.
     has_pending: bool,
     longest_wait: Duration,
-    standstill: Duration,
+    stall: Duration,
     looked_at_within: Duration,
     /// When the loop was to be awake at the latest.
     awake_by: Option<Instant>,
@@ -116,7 +116,7 @@
     let name = launch.fixed.name.clone();
     let address = launch.fixed.listen;
     let reads = launch.limits.reads;
-    let (longest, standstill) = (launch.limits.longest_wait, launch.limits.standstill);
+    let (longest, stall) = (launch.limits.longest_wait, launch.limits.stall);
     let looked_at_within = launch.limits.looked_at_within;
     let budget = launch.limits.events;
     let (allowed, told) = (launch.allowance.descriptors, launch.sockets_told);
@@ -156,7 +156,7 @@
         effects: Vec::new(),
         has_pending: false,
         longest_wait: longest,
-        standstill,
+        stall,
         looked_at_within,
         awake_by: None,
         short: None,
@@ -207,12 +207,12 @@
 }
 
 impl Front {
-    /// The first event of a batch that comes long after the loop was to be awake shows that it stood still.
-    fn check_standstill(&mut self) {
+    /// The first event of a batch that comes long after the loop was to be awake shows that it stalled.
+    fn check_stall(&mut self) {
         self.usage.awake.get_or_insert_with(Instant::now);
         let late = self.awake_by.take().map(|by| Instant::now().saturating_duration_since(by));
-        if let Some(late) = late.filter(|&late| late >= self.standstill) {
-            self.apply(Event::StoodStill(Span::from_nanos((late + self.longest_wait).as_nanos() as i64)));
+        if let Some(late) = late.filter(|&late| late >= self.stall) {
+            self.apply(Event::Stalled(Span::from_nanos((late + self.longest_wait).as_nanos() as i64)));
         }
     }
 
@@ -237,7 +237,7 @@
     }
 
     fn harvest(&mut self) {
-        self.check_standstill();
+        self.check_stall();
         self.poll_connections();
     }
 
@@ -340,7 +340,7 @@
         self.carry_out();
     }
 
-    /// Guards members, and clients, against a clock that went on while this process stood still: all that came to the
+    /// Guards members, and clients, against a clock that went on while this process stalled: all that came to the
     /// sockets meanwhile is looked at before any deadline is.
     fn catch_up(&mut self) {
         if self.connections.polled_at().elapsed() < self.looked_at_within {
@@ -444,7 +444,7 @@
     }
 
     fn accept_some(&mut self) -> Accepted {
-        self.check_standstill();
+        self.check_stall();
         let Some((listener, _)) = self.listener.clone() else { return Accepted::All };
         if !self.postponed.accepted.is_empty() {
             return Accepted::Full;
