--- a/crates/ladderpass/tests/common/mod.rs
+++ b/crates/ladderpass/tests/common/mod.rs
@@ -57,6 +57,22 @@
     path
 }
 
+/// A launch as of a process that is told this; discovery is at port 8500 of loopback.
+pub fn launch_of(told: &str) -> ladderpass::launch::Launch {
+    let path = file(told);
+    let variable = |key: &str| {
+        Some(match key {
+            "RELAY_NAME" => "n0".to_owned(),
+            "RELAY_LISTEN" => "127.0.0.1:6432".to_owned(),
+            "RELAY_DISCOVERY" => "127.0.0.1:8500".to_owned(),
+            _ => path.to_str()?.to_owned(),
+        })
+    };
+    let launch = ladderpass::launch::Launch::read(variable, None);
+    std::fs::remove_file(&path).expect("its own file");
+    launch.unwrap_or_else(|fault| panic!("{fault}"))
+}
+
 /// A free port of the system's choice, on an address of the caller's own, for a stand-in that keeps it.
 pub fn own_address() -> String {
     static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(1);
--- a/crates/ladderpass/tests/common/stand_ins.rs
+++ b/crates/ladderpass/tests/common/stand_ins.rs
@@ -113,7 +113,7 @@
 pub fn command(listen: &str, discovery: &str, told: &PathBuf) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_ladderpass"));
     command.env("RELAY_NAME", "n0").env("RELAY_LISTEN", listen).env("RELAY_DISCOVERY", discovery);
-    command.env("RELAY_CONFIG", told).env("RUST_LOG", "warn").stderr(Stdio::piped());
+    command.env("RELAY_CONFIG", told).env("RUST_LOG", "info").stderr(Stdio::piped());
     command
 }
 
--- a/crates/ladderpass/tests/room.rs
+++ b/crates/ladderpass/tests/room.rs
@@ -5,7 +5,7 @@
 
 use common::*;
 use ladderpass::reducer::{ConnId, Effect, Event, Reducer};
-use ladderpass::{launch, limits};
+use ladderpass::limits;
 use ladderpass_core::{Span, Time};
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -70,21 +70,8 @@
 /// A router that is told of so many descriptors, on a machine that has this many.
 fn machine(members: usize, told: usize, free: usize) -> Machine {
     let addresses: Vec<String> = (0..members).map(address).collect();
-    let path = file(&told_in_groups(&addresses, told.max(64)));
-    let launch = launch::Launch::read(
-        |key| {
-            Some(match key {
-                "RELAY_NAME" => "n0".to_owned(),
-                "RELAY_LISTEN" => "127.0.0.1:6432".to_owned(),
-                "RELAY_DISCOVERY" => format!("127.0.0.1:{DISCOVERY}"),
-                _ => path.to_str()?.to_owned(),
-            })
-        },
-        None,
-    );
-    std::fs::remove_file(path).expect("its own file");
     let now = Time::from_nanos(1_796_000_000_000_000_000);
-    let mut launch = launch.unwrap_or_else(|fault| panic!("{fault}"));
+    let mut launch = launch_of(&told_in_groups(&addresses, told.max(64)));
     // As where the process may open fewer than the platform says.
     launch.limits = limits::Limits::of(192, told, &launch.facts);
     Machine {
--- a/crates/ladderpass/tests/rules.rs
+++ b/crates/ladderpass/tests/rules.rs
@@ -61,20 +61,7 @@
 
 fn launched_with(change: impl Fn(String) -> String) -> launch::Launch {
     let members: Vec<String> = (0..3).map(|n| format!("127.0.0.1:{}", 7000 + n)).collect();
-    let path = file(&change(told(&members)));
-    let launch = launch::Launch::read(
-        |key| {
-            Some(match key {
-                "RELAY_NAME" => "n0".to_owned(),
-                "RELAY_LISTEN" => "127.0.0.1:6432".to_owned(),
-                "RELAY_DISCOVERY" => "127.0.0.1:8500".to_owned(),
-                _ => path.to_str()?.to_owned(),
-            })
-        },
-        None,
-    );
-    std::fs::remove_file(path).expect("its own file");
-    launch.unwrap_or_else(|fault| panic!("{fault}"))
+    launch_of(&change(told(&members)))
 }
 
 impl World {
--- a/crates/ladderpass/tests/stalls.rs
+++ b/crates/ladderpass/tests/stalls.rs
@@ -32,20 +32,7 @@
 
 fn launch(sockets: usize) -> Launch {
     let members: Vec<String> = (0..3).map(|n| format!("127.0.0.1:{}", 7000 + n)).collect();
-    let path = file(&told(&members).replace("\"sockets\":1024", &format!("\"sockets\":{sockets}")));
-    let launch = Launch::read(
-        |key| {
-            Some(match key {
-                "RELAY_NAME" => "n0".to_owned(),
-                "RELAY_LISTEN" => "127.0.0.1:6432".to_owned(),
-                "RELAY_DISCOVERY" => "127.0.0.1:8500".to_owned(),
-                _ => path.to_str()?.to_owned(),
-            })
-        },
-        None,
-    );
-    std::fs::remove_file(path).expect("its own file");
-    launch.unwrap_or_else(|fault| panic!("{fault}"))
+    launch_of(&told(&members).replace("\"sockets\":1024", &format!("\"sockets\":{sockets}")))
 }
 
 /// Bytes of a client that the router reads now.
