--- a/crates/ladderpass/tests/room.rs
+++ b/crates/ladderpass/tests/room.rs
@@ -4,8 +4,8 @@
 mod common;
 
 use common::*;
-use ladderpass::reducer::{ConnId, Effect, Event, Reducer};
 use ladderpass::limits;
+use ladderpass::reducer::{ConnId, Effect, Event, Reducer};
 use ladderpass_core::{Span, Time};
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
