The first reads of a fresh router wait for a replica's first answer, for 0.3 s at most

Cause, from the log: '2 stale; 0 attempts in 51 ms' right after the start. A group counted as heard of with its primary's first answer, and reads waited for the replicas' no longer than for any probe, 60 ms (decide.rs, place). Change: a replica that has never told anything is waited for until 0.3 s after the start, the time that a fresh router held RPCs for first answers before.

--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -262,7 +262,10 @@
             };
             if !passes {
                 passed_over.add(Ineligible::Stale);
-                asked |= member.probe_sent.map_or(member.probe_at <= now, |sent| now - sent < ASK_WAIT);
+                asked |= match member.probe_sent {
+                    Some(sent) => now < self.awaited_until(member, sent),
+                    None => member.probe_at <= now,
+                };
                 if member.probe_sent.is_none()
                     && level != Level::Any
                     && unsure.is_none_or(|least| key < least)
@@ -346,6 +349,13 @@
         primary == Some(index) || !primary_only && self.fleet.member(index).position >= self.needs(now, rpc)
     }
 
+    /// Until when a read waits for the answer to this probe. Guards the primary against the first reads of a fresh router,
+    /// which has never heard of its replicas: it waits for their first answers too, not for that of the primary alone.
+    fn awaited_until(&self, member: &Member, sent: Time) -> Time {
+        let first = if member.told_at == Time::NEVER { self.started + FIRST_ANSWERS } else { Time::NEVER };
+        first.max(sent + ASK_WAIT)
+    }
+
     fn ask_all(&mut self, now: Time, group: usize) {
         self.fleet.groups[group].members.clone().into_iter().for_each(|index| self.ask(now, index));
     }
