Test: what comes while the answer of a stopping router is written is answered

It fails with the close in step put back (closed after 11 bytes, one of two answers), and tells the story and the figures at its top.

--- a/crates/ladderpass/tests/stalls.rs
+++ b/crates/ladderpass/tests/stalls.rs
@@ -98,6 +98,46 @@
     assert!(closed > 0, "some made place");
 }
 
+/// After SIGTERM a client gets an answer that its socket does not take yet; what it sends meanwhile is read, and answered
+/// too. Only then is it closed, behind a last look.
+///
+/// What happened: lives of the soak that were stopped nine times for 0.16 s at random: 2 of 32 lost a request after SIGTERM (seeds
+/// 23 and 30). Why: where an answer was not written yet, the connection was set to close behind it, and what is read on such a
+/// one is dropped with it. What showed it: a scratch copy logged each close with bytes unread and the state of its client; all 143 of these
+/// were "stop=true closing=true Idle".
+#[test]
+fn what_comes_while_the_answer_of_a_stopping_router_is_written_is_answered() {
+    let now = Time::from_nanos(1_796_000_000_000_000_000);
+    let mut reducer = Reducer::start(now, launch(64));
+    let id = client(&mut reducer, now);
+    // One that was served once is closed with its next answer: this statement is answered at once, with an error.
+    receive(&mut reducer, now, id, &query(&statement("1", "unknown", 5000, "1")));
+    reducer.apply(now, Event::Turn);
+    let first = reducer.outgoing(id).len();
+    reducer.apply(now, Event::Written(id, first));
+    reducer.apply(now, Event::Terminate);
+    let now = now + Span::from_millis(150);
+    reducer.apply(now, Event::Turn);
+    receive(&mut reducer, now, id, &query(""));
+    reducer.apply(now, Event::Turn);
+    let answer = reducer.outgoing(id).len();
+    assert!(answer > 0, "it is answered");
+    receive(&mut reducer, now, id, &query(""));
+    let mut answered = 0;
+    for _ in 0..6 {
+        let more = reducer.outgoing(id).len();
+        answered += more;
+        let mut effects = reducer.apply(now, Event::Written(id, more));
+        effects.extend(reducer.apply(now, Event::Turn));
+        let quiet = effects.contains(&Effect::CloseIfQuiet(id));
+        if quiet && reducer.apply(now, Event::Quiet(id)).contains(&Effect::Close(id)) {
+            return assert_eq!(answered, answer * 2, "both are answered");
+        }
+        assert!(!effects.contains(&Effect::Close(id)), "closed after {answered} bytes of answers");
+    }
+    panic!("it is closed in the end");
+}
+
 // ---- a process that stands still within its calls
 
 /// A life of a router that stands still in a call: what is played before it.
