--- a/crates/ladderpass/src/reducer.rs
+++ b/crates/ladderpass/src/reducer.rs
@@ -448,10 +448,9 @@
     }
 
     fn turn(&mut self, now: Time) {
-        let looked_at = self.parting.len();
         // Guards against statements begun for clients that have left: all that the batch read, ends too, comes first.
         self.look_at_ready(now);
-        self.see_off(looked_at);
+        self.see_off();
         self.connect_again();
         while let Some(&(at, id)) = self.looks.first()
             && at <= now
--- a/crates/ladderpass/src/reducer/clients.rs
+++ b/crates/ladderpass/src/reducer/clients.rs
@@ -130,14 +130,6 @@
     id.0 as u32
 }
 
-/// Is it still waited for, as it was when it was parted with?
-fn is_waited_for(conns: &FxHashMap<ConnId, Conn>, id: ConnId, waiting: Option<(Waiting, Time)>) -> bool {
-    match conns.get(&id) {
-        Some(Conn { peer: Peer::Client(client), .. }) => waiting.is_some() && client.waiting == waiting,
-        _ => false,
-    }
-}
-
 /// Width of those steps.
 const STEP: i64 = 128_000_000;
 
@@ -230,29 +222,25 @@
         self.effects.push(Effect::Read(id));
     }
 
-    /// Has those looked at for the last time that were parted with before this turn, so many: their sockets have been
-    /// read since. Each is closed right behind that look. Guards what came while the router stalled against those
-    /// that make place in this very turn, and against closes that wait for those of others.
-    pub(super) fn see_off(&mut self, looked_at: usize) {
-        let conns = &self.conns;
-        let mut nth = 0;
-        self.parting.retain(|(id, waiting)| {
-            nth += 1;
-            nth > looked_at || is_waited_for(conns, *id, *waiting)
-        });
-        let quiet = self.parting.iter().take(looked_at).map(|&(id, _)| Effect::CloseIfQuiet(id));
-        self.effects.extend(quiet);
+    /// Has all that are parted with looked at for the last time, each right before it is closed. Guards what came while
+    /// the router stalled: against closes that wait for those of others, and against one that makes place in this turn.
+    pub(super) fn see_off(&mut self) {
+        self.effects.extend(self.parting.iter().map(|&(id, _)| Effect::CloseIfQuiet(id)));
     }
 
     /// Nothing came of the last look at a socket, or else it would not be parted with any more.
     pub(super) fn quiet(&mut self, now: Time, id: ConnId) {
         let Some(at) = self.parting.iter().position(|&(parting, _)| parting == id) else { return };
+        let Some(conn) = self.conns.get(&id) else { return };
         // A read that failed for a moment is made again, and with it this look.
-        if self.conns.get(&id).is_some_and(|conn| conn.unread && !conn.paused) {
+        if conn.unread && !conn.paused {
             return;
         }
         let (_, waiting) = self.parting.remove(at);
-        if is_waited_for(&self.conns, id, waiting) {
+        if let Peer::Client(client) = &conn.peer
+            && client.waiting.is_some()
+            && client.waiting == waiting
+        {
             self.close_client(now, id);
         }
     }
