Reasons in the log: made only where they are told; one place for whose the primary is

Found on rereading: each RPC that is given up had the state of its primary reckoned, told or not (up to four are told a turn); the tally kept a list of examples that it never used; 'for the primary alone' stood four times (Level::primary_only now), the share of a primary's limit twice, the second time without that of marked repeats, so that the log could call a primary eligible for a repeat that it has no room for; each reason had an index beside its place in the list. No decision changes.

--- a/crates/ladderpass-core/src/decide.rs
+++ b/crates/ladderpass-core/src/decide.rs
@@ -216,13 +216,13 @@
         let kept = state.callouts == 0 && now >= state.taken + (state.arrival.due - state.taken) * HELD_PART;
         let out_of_time = kept || now + self.deployment.tick * 2.0 >= state.arrival.due;
         let no_attempt_left = state.callouts >= self.deployment.callouts_cap;
-        let hopeless = [
+        let hopeless = first_that_holds([
             (!may_run, GiveUpReason::MayHaveRun),
             (no_attempt_left, GiveUpReason::NoAttemptLeft),
             (too_late, GiveUpReason::TooLate),
             (out_of_time, GiveUpReason::OutOfTime),
-        ];
-        if let Some(&(_, reason)) = hopeless.iter().find(|(holds, _)| *holds) {
+        ]);
+        if let Some(reason) = hopeless {
             return self.give_up(now, rpc, reason);
         }
         // A fresh router waits for the first answers; its list may be old.
@@ -231,13 +231,12 @@
             return self.hold(rpc);
         }
         let level = row.method.level;
-        let primary_only = matches!(level, Level::Fresh | Level::Write);
+        let primary_only = level.primary_only();
         let needs = self.needs(now, rpc);
         // The filter and the pick: fewest in flight among the replicas that pass, ties in turn.
         let mut best: Option<(f64, f64, usize)> = None;
-        // A marked repeat competes with first tries, more wanted than it: it gets what is idle.
-        let repeat = state.arrival.resent && row.method.effect == Effect::Idempotent;
-        let spare = if repeat { REPEAT_SHARE } else { 1.0 };
+        let repeat = self.is_repeat(rpc);
+        let spare = self.spare_share(rpc);
         let mut chance = self.chance.clone();
         // The next pick among those that no news speaks for, and whether one is being asked.
         let (mut unsure, mut asked): (Option<(f64, f64, usize)>, bool) = (None, false);
@@ -290,16 +289,14 @@
         // No news yet: the read waits for that of its next pick, a round trip, before the primary is asked.
         let ask = unsure.filter(|_| !asked).map(|(_, _, index)| index);
         let waits = picked.is_none() && self.deployment.probes_tell && (asked || ask.is_some());
-        // The spill, which leaves the writes their place.
-        let share = spare * if primary_only { 1.0 } else { READ_SHARE };
         if picked.is_none()
             && !waits
             && let Some(index) = group.primary
-            && self.primary_ineligible(now, index, rpc, share).is_none()
+            && self.primary_ineligible(now, index, rpc).is_none()
         {
             picked = Some(index);
             if !primary_only {
-                self.tell_exception(now, rpc, Exception::Spilled(passed_over));
+                self.tell_spill(now, rpc, passed_over);
             }
         }
         self.chance = chance;
@@ -340,13 +337,14 @@
     /// May an attempt that has waited for its connection still be made there? Guards reads against members that were
     /// passed over for a connection that came up late, while what is known of them was as good as before.
     pub fn still_holds(&self, now: Time, rpc: Rpc, member: MemberId) -> bool {
-        if self.rpcs.get(rpc).is_none() || !self.serves(member) || !self.may_run(now, rpc) {
+        let Some(state) = self.rpcs.get(rpc) else { return false };
+        if !self.serves(member) || !self.may_run(now, rpc) {
             return false;
         }
-        let (index, state) = (member.0 as usize, &self.rpcs[rpc]);
+        let index = member.0 as usize;
         let primary = self.fleet.groups[state.arrival.group as usize].primary;
-        let primary_only = matches!(self.row(rpc).method.level, Level::Fresh | Level::Write);
-        primary == Some(index) || !primary_only && self.fleet.member(index).position >= self.needs(now, rpc)
+        let replica_may = !self.row(rpc).method.level.primary_only();
+        primary == Some(index) || replica_may && self.fleet.member(index).position >= self.needs(now, rpc)
     }
 
     /// Until when a read waits for the answer to this probe. Guards the primary against the first reads of a fresh router,
@@ -416,8 +414,11 @@
 
     /// The final answer of an RPC that will not be served here.
     fn give_up(&mut self, now: Time, rpc: Rpc, reason: GiveUpReason) -> Decision {
-        let primary = self.primary_state(now, rpc);
-        self.tell_exception(now, rpc, Exception::GivenUp { reason, primary });
+        self.upkeep.exceptions.counts.given_up.add(reason);
+        if self.upkeep.exceptions.wants_example() {
+            let primary = self.primary_state(now, rpc);
+            self.tell_example(now, rpc, Exception::GivenUp { reason, primary });
+        }
         let (state, row) = (&self.rpcs[rpc], self.row(rpc));
         let harmless = match row.method.effect {
             Effect::Idempotent => true,
@@ -434,16 +435,23 @@
     fn primary_state(&self, now: Time, rpc: Rpc) -> PrimaryState {
         let group = self.fleet.groups.get(self.rpcs[rpc].arrival.group as usize);
         let Some(index) = group.and_then(|group| group.primary) else { return PrimaryState::Unknown };
-        let level = self.row(rpc).method.level;
-        let share = if matches!(level, Level::Fresh | Level::Write) { 1.0 } else { READ_SHARE };
-        let ineligible = self.primary_ineligible(now, index, rpc, share);
+        let ineligible = self.primary_ineligible(now, index, rpc);
         ineligible.map_or(PrimaryState::Eligible, PrimaryState::Ineligible)
     }
 
-    /// For the log: this RPC did not go by the ordinary path.
-    fn tell_exception(&mut self, now: Time, rpc: Rpc, what: Exception) {
+    /// For the log: a read goes to the primary past these replicas.
+    fn tell_spill(&mut self, now: Time, rpc: Rpc, passed_over: Counts<Ineligible>) {
+        let exceptions = &mut self.upkeep.exceptions;
+        exceptions.counts.spilled += 1;
+        exceptions.counts.passed_over.join(&passed_over);
+        if exceptions.wants_example() {
+            self.tell_example(now, rpc, Exception::Spilled(passed_over));
+        }
+    }
+
+    fn tell_example(&mut self, now: Time, rpc: Rpc, what: Exception) {
         let state = &self.rpcs[rpc];
-        self.upkeep.exceptions.add(Unserved {
+        self.upkeep.exceptions.examples.push(Unserved {
             group: state.arrival.group,
             method: state.arrival.method,
             attempts: state.callouts,
@@ -493,8 +501,18 @@
         None
     }
 
-    /// The same for the primary, which gets no RPC after a single failure, and of its limit no more than this share.
-    fn primary_ineligible(&self, now: Time, index: usize, rpc: Rpc, share: f64) -> Option<Ineligible> {
+    /// A marked repeat competes with first tries, more wanted than it.
+    fn is_repeat(&self, rpc: Rpc) -> bool {
+        self.rpcs[rpc].arrival.resent && self.row(rpc).method.effect == Effect::Idempotent
+    }
+
+    /// The part of an in-flight limit that this RPC may use: a marked repeat gets what is idle.
+    fn spare_share(&self, rpc: Rpc) -> f64 {
+        if self.is_repeat(rpc) { REPEAT_SHARE } else { 1.0 }
+    }
+
+    /// Why this RPC can't go to the primary now, which gets none after a single failure. A spill leaves writes their place.
+    fn primary_ineligible(&self, now: Time, index: usize, rpc: Rpc) -> Option<Ineligible> {
         let ineligible = self.ineligible(now, index, rpc);
         if ineligible.is_some() {
             return ineligible;
@@ -502,6 +520,8 @@
         if self.fleet.member(index).misses > 0 {
             return Some(Ineligible::Ejected);
         }
+        let of_level = if self.row(rpc).method.level.primary_only() { 1.0 } else { READ_SHARE };
+        let share = self.spare_share(rpc) * of_level;
         (!self.room(now, index, rpc, share)).then_some(Ineligible::NoRoom)
     }
 
@@ -595,7 +615,7 @@
     fn pay_in(&mut self, now: Time, arrival: &Arrival) {
         let level = self.rows[arrival.method as usize].method.level;
         let taken = self.fleet.reach_taken(arrival.group, MEASURE);
-        taken.add(now, f64::from(u8::from(matches!(level, Level::Fresh | Level::Write))));
+        taken.add(now, f64::from(u8::from(level.primary_only())));
         let (count, writes) = taken.last(now, 8);
         let (group, deployment) = (&self.fleet.groups[arrival.group as usize], &self.deployment);
         let (primary, fair) = (group.primary, count / group.largest.max(1) as f64);
@@ -1048,6 +1068,10 @@
     }
 }
 
+fn first_that_holds<const N: usize>(reasons: [(bool, GiveUpReason); N]) -> Option<GiveUpReason> {
+    reasons.into_iter().find(|&(holds, _)| holds).map(|(_, reason)| reason)
+}
+
 impl Rpc {
     /// A call-out of this RPC has ended.
     pub fn ended(self, router: &mut Router, now: Time, outcome: Outcome) -> Decision {
@@ -1068,12 +1092,12 @@
         if !outcome.ended.never_ran() {
             router.rpcs[self].risked.get_or_insert(sent);
         }
-        let hopeless = [
+        let hopeless = first_that_holds([
             (outcome.ended == Ended::Void, GiveUpReason::NotMade),
             (at_fault, GiveUpReason::AtFault),
             (outcome.unpaid, GiveUpReason::Unpaid),
-        ];
-        if let Some(&(_, reason)) = hopeless.iter().find(|(holds, _)| *holds) {
+        ]);
+        if let Some(reason) = hopeless {
             return router.give_up(now, self, reason);
         }
         router.place(now, self)
--- a/crates/ladderpass-core/src/interface.rs
+++ b/crates/ladderpass-core/src/interface.rs
@@ -29,6 +29,11 @@
 }
 
 impl Level {
+    /// Is it for the primary of its group, and no other member?
+    pub fn primary_only(self) -> bool {
+        matches!(self, Level::Fresh | Level::Write)
+    }
+
     pub fn bound(self) -> Option<Span> {
         match self {
             Level::Bounded(bound) => Some(bound),
--- a/crates/ladderpass-core/src/reasons.rs
+++ b/crates/ladderpass-core/src/reasons.rs
@@ -46,10 +46,9 @@
 }
 
 /// A reason that is counted.
-pub trait Reason: Copy + 'static {
+pub trait Reason: Copy + PartialEq + 'static {
     const ALL: &'static [Self];
     fn text(self) -> &'static str;
-    fn index(self) -> usize;
 }
 
 impl Reason for GiveUpReason {
@@ -76,10 +75,6 @@
             GiveUpReason::NothingIdle => "nothing idle for a repeat",
         }
     }
-
-    fn index(self) -> usize {
-        self as usize
-    }
 }
 
 impl Reason for Ineligible {
@@ -104,10 +99,6 @@
             Ineligible::Stale => "stale",
         }
     }
-
-    fn index(self) -> usize {
-        self as usize
-    }
 }
 
 /// Most reasons of one kind.
@@ -128,26 +119,20 @@
 
 impl<R: Reason> Counts<R> {
     pub fn add(&mut self, reason: R) {
-        if let Some(count) = self.counts.get_mut(reason.index()) {
-            *count += 1;
-        }
+        let counted = R::ALL.iter().zip(&mut self.counts).find(|(of, _)| **of == reason);
+        counted.into_iter().for_each(|(_, count)| *count += 1);
     }
 
     pub fn join(&mut self, other: &Counts<R>) {
         self.counts.iter_mut().zip(other.counts).for_each(|(count, more)| *count += more);
     }
-
-    pub fn count(&self, reason: R) -> u32 {
-        self.counts.get(reason.index()).copied().unwrap_or(0)
-    }
 }
 
 /// As in "2 stale, 1 ejected"; "none" where no reason held.
 impl<R: Reason> Display for Counts<R> {
     fn fmt(&self, form: &mut Formatter<'_>) -> fmt::Result {
-        let held = R::ALL.iter().filter(|&&reason| self.count(reason) > 0);
-        let told: Vec<String> =
-            held.map(|&reason| format!("{} {}", self.count(reason), reason.text())).collect();
+        let held = R::ALL.iter().zip(self.counts).filter(|&(_, count)| count > 0);
+        let told: Vec<String> = held.map(|(reason, count)| format!("{count} {}", reason.text())).collect();
         form.write_str(if told.is_empty() { "none" } else { "" })?;
         form.write_str(&told.join(", "))
     }
@@ -184,13 +169,27 @@
     Spilled(Counts<Ineligible>),
 }
 
-/// What did not go by the ordinary path since the front was told last.
-#[derive(Clone, Debug, Default)]
-pub struct Exceptions {
+/// How often what did not go by the ordinary path.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ExceptionCounts {
     pub given_up: Counts<GiveUpReason>,
     pub spilled: u32,
     /// Replicas that were passed over where a read spilled.
     pub passed_over: Counts<Ineligible>,
+}
+
+impl ExceptionCounts {
+    pub fn join(&mut self, other: &ExceptionCounts) {
+        self.given_up.join(&other.given_up);
+        self.spilled += other.spilled;
+        self.passed_over.join(&other.passed_over);
+    }
+}
+
+/// What did not go by the ordinary path since the front was told last.
+#[derive(Clone, Debug, Default)]
+pub struct Exceptions {
+    pub counts: ExceptionCounts,
     /// The first few of them.
     pub examples: Vec<Unserved>,
 }
@@ -199,23 +198,8 @@
 const MOST_EXAMPLES: usize = 4;
 
 impl Exceptions {
-    /// Adds the counts of another; its examples stay there.
-    pub fn join(&mut self, other: &Exceptions) {
-        self.given_up.join(&other.given_up);
-        self.spilled += other.spilled;
-        self.passed_over.join(&other.passed_over);
-    }
-
-    pub fn add(&mut self, unserved: Unserved) {
-        match &unserved.what {
-            Exception::GivenUp { reason, .. } => self.given_up.add(*reason),
-            Exception::Spilled(passed_over) => {
-                self.spilled += 1;
-                self.passed_over.join(passed_over);
-            }
-        }
-        if self.examples.len() < MOST_EXAMPLES {
-            self.examples.push(unserved);
-        }
+    /// Is a further example kept? Where not, none has to be made.
+    pub fn wants_example(&self) -> bool {
+        self.examples.len() < MOST_EXAMPLES
     }
 }
--- a/crates/ladderpass/src/reducer/tally.rs
+++ b/crates/ladderpass/src/reducer/tally.rs
@@ -4,7 +4,7 @@
 //! It owns the counts since the log told them last. It must never decide, nor tell more lines than its limit.
 
 use super::*;
-use ladderpass_core::reasons::{Exception, Exceptions, PrimaryState, Reason, Unserved};
+use ladderpass_core::reasons::{Exception, ExceptionCounts, Exceptions, PrimaryState, Reason, Unserved};
 
 /// What the log tells now and then.
 #[derive(Default)]
@@ -28,7 +28,7 @@
     pub(super) answer_time: Span,
     pub(super) told_at: Time,
     /// What did not go by the ordinary path, and how many examples of it were told.
-    pub(super) exceptions: Exceptions,
+    pub(super) exceptions: ExceptionCounts,
     pub(super) examples: usize,
 }
 
@@ -75,7 +75,7 @@
 
     /// Counts what did not go by the ordinary path, and tells the first few of it.
     pub(super) fn tell_exceptions(&mut self, told: Exceptions) {
-        self.tally.exceptions.join(&told);
+        self.tally.exceptions.join(&told.counts);
         for unserved in &told.examples {
             if self.tally.examples >= MOST_EXAMPLES {
                 return;
