--- a/crates/ladderpass/tests/pressed.rs
+++ b/crates/ladderpass/tests/pressed.rs
@@ -67,9 +67,9 @@
     assert!(seen.outcome.come_back_ms.max() > seen.outcome.come_back_ms.min() + 10, "spread by chance");
 }
 
-/// What happened: beside 16 busy processes too few of the hundred stood in the way (0 and 14 here, 6 before; 20 are asked for). Why: the
-/// router was pressed by the delay of its loop, whose core others had, and shed the very statements whose answers were to
-/// fill their sockets. What showed it, in the figures of such a run: "own load before=calm now=shedding foremost=delay",
+/// What happened: beside 16 busy processes too few of the hundred stood in the way (0 and 14 here, 6 before; 20 are asked
+/// for). Why: the router was pressed by the delay of its loop, whose core others had, and shed the very statements whose
+/// answers were to fill their sockets. What showed it, in the figures of such a run: "own load before=calm now=shedding foremost=delay",
 /// "delay_ms 34.5, stolen 0.34, taken 200, shed 200". Shedding is what it is there for; here it takes the test's premise
 /// away. So the delay presses from 2 s on in this test alone, and none of the hundred may be shed.
 #[test]
