Start: nothing listens before every other step of the start has succeeded

What callers saw: a reset of a connection that a starting router had taken, when a system call of the start failed for a moment.

Cause: the socket listened before it, and the set of connections, were registered with the event loop. A failed registration dropped the socket with the clients in its backlog. Evidence: the new test delays and fails the nth epoll_ctl addition; before this change the client was reset for n = 4, the listener's ("reset because addition 4 to an epoll set failed"). The harness of failing calls can delay a call and then fail it for that.

Change: bind, register, register signals, and listen last; each step is retried by itself. Found on the way: the signal handlers were dropped with each retried start, and a SIGHUP then ended the process (its new test: "SIGHUP has ended the process", signal 1). SIGHUP is blocked from the beginning of main on.

The testbed's errors name the step and the router's address.

--- a/crates/ladderpass-testbed/src/lib.rs
+++ b/crates/ladderpass-testbed/src/lib.rs
@@ -29,3 +29,4 @@
 pub mod router;
 pub mod router_log;
 pub mod run;
+mod step_error;
--- a/crates/ladderpass-testbed/src/router/process.rs
+++ b/crates/ladderpass-testbed/src/router/process.rs
@@ -5,6 +5,7 @@
 use super::affinity::pin;
 use super::resource_usage::ResourceUsage;
 use super::start::Start;
+use crate::step_error::{Step, in_step};
 use ladderpass_emulator::{RunningEmulator, Scenario, proto};
 use ladderpass_routing::Time;
 use nix::sys::signal::{Signal, kill};
@@ -124,7 +125,7 @@
         let listening_deadline = Instant::now() + START_TIMEOUT;
         loop {
             if let Ok(stream) = TcpStream::connect(self.address) {
-                return check_first_answer(stream);
+                return check_first_answer(stream).map_err(in_step(Step::FirstAnswer, self.address));
             }
             if let Some(status) = self.process.try_wait()? {
                 self.wait_until_log_is_read();
--- a/crates/ladderpass-testbed/src/run/mod.rs
+++ b/crates/ladderpass-testbed/src/run/mod.rs
@@ -18,6 +18,7 @@
 use crate::load::{self, Arrivals, Phase, Plan, Prober};
 use crate::router::{Router, Start, exclude_core};
 use crate::router_log;
+use crate::step_error::{Step, in_step};
 use ladderpass_emulator::{RunningEmulator, Scenario};
 use ladderpass_fault_injection::Rule;
 use ladderpass_fault_injection::driver::{self, RunSummary};
@@ -103,7 +104,8 @@
     };
     let mut router =
         Router::start_with_upstreams(scenario, &upstream.members, upstream.discovery, start, plan.seed)?;
-    let prober = Prober::start(router.address, PROBE_INTERVAL)?;
+    let prober =
+        Prober::start(router.address, PROBE_INTERVAL).map_err(in_step(Step::Prober, router.address))?;
     let cpu_before = router.resource_usage().cpu_seconds;
     let outcome = load::run(scenario, router.address, plan, |secs| {
         for event in events.iter_mut().filter(|event| event.at_s <= secs) {
@@ -111,7 +113,8 @@
         }
         events.retain(|event| event.at_s > secs);
         on_progress(secs);
-    })?;
+    });
+    let outcome = outcome.map_err(in_step(Step::Load, router.address))?;
     let used = router.resource_usage();
     let probe_delays = prober.stop();
     let ended = wait_for_shutdown(&mut router);
--- a/crates/ladderpass/src/main.rs
+++ b/crates/ladderpass/src/main.rs
@@ -48,6 +48,10 @@
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
+    // Until the event loop handles signals, SIGHUP would end the process.
+    if let Err(error) = sockets::block_reload_signal() {
+        eprintln!("SIGHUP not blocked during the start: {error}");
+    }
     let configuration = launch::Launch::read_at_start(|key| std::env::var(key).ok(), cli.operator.as_deref());
     if let Some(Command::Check) = cli.command {
         return match configuration {
--- a/crates/ladderpass/src/sockets.rs
+++ b/crates/ladderpass/src/sockets.rs
@@ -7,6 +7,7 @@
 //! | module | what it does |
 //! | --- | --- |
 //! | `start` | opens all sockets and registers them with the event loop, with retries |
+//! | `signals` | registers the handlers of signals |
 //! | `event_loop` | waits for events, and runs one iteration after another |
 //! | `server` | holds the state that all iterations share, and passes events to the reducer |
 //! | `effects` | carries out the reducer's effects |
@@ -30,7 +31,9 @@
 mod reload;
 mod resource_usage;
 mod server;
+mod signals;
 mod start;
 
 pub use event_loop::{RunError, run};
+pub use signals::block_reload_signal;
 pub use start::StartError;
--- a/crates/ladderpass/src/sockets/listener.rs
+++ b/crates/ladderpass/src/sockets/listener.rs
@@ -5,7 +5,7 @@
 //! passed.
 
 use calloop::{LoopHandle, RegistrationToken};
-use socket2::{Domain, Protocol, Socket, Type};
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
@@ -126,12 +126,16 @@
     }
 }
 
-/// Opens a non-blocking TCP socket that listens at `address`.
-pub(super) fn listen(address: SocketAddr, backlog: i32) -> io::Result<TcpListener> {
+/// Opens a non-blocking TCP socket that is bound to `address`. Clients can connect only after a call of [`listen`].
+pub(super) fn bind(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
-    socket.listen(backlog)?;
     Ok(socket.into())
 }
+
+/// Lets clients connect to a socket that [`bind`] has opened. The kernel queues up to `backlog` of them.
+pub(super) fn listen(socket: &TcpListener, backlog: i32) -> io::Result<()> {
+    SockRef::from(socket).listen(backlog)
+}
--- a/crates/ladderpass/src/sockets/start.rs
+++ b/crates/ladderpass/src/sockets/start.rs
@@ -1,21 +1,21 @@
-//! The start of the router, which opens everything that the event loop waits for, and retries if a call fails
+//! The start of the router, which opens everything that the event loop waits for, and retries each step that fails
 //! temporarily.
 
 use super::datagrams::{self, PeerSocket};
 use super::listener::{self, RegisteredListener};
 use super::server::{Server, Sockets};
+use super::signals;
 use crate::connection_table::ConnectionTable;
 use crate::io_errors::is_transient_at_start;
 use crate::launch::Launch;
-use crate::reducer::Event;
+use crate::limits::Limits;
 use calloop::generic::Generic;
-use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::AsFd;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// The step at which a start of the router failed, with the error.
 #[derive(Debug, thiserror::Error)]
@@ -67,41 +67,62 @@
     pub(super) sockets: Sockets,
 }
 
-/// Opens all sockets of the router. If a call fails with a transient error, retries for a while, for example because
-/// the address may still belong to a process that is about to end.
+/// Opens all sockets of the router. If a step fails with a transient error, retries the step for a while, for example
+/// because the address may still belong to a process that is about to end.
+///
+/// The listening socket accepts connections only after every other step has succeeded: if a later step failed, the
+/// kernel would reset the clients that had connected.
 pub(super) fn open_with_retries(launch: &Launch) -> Result<StartedSockets, StartError> {
-    let give_up_at = Instant::now() + launch.limits.start_retry_timeout;
-    loop {
-        match open(launch) {
-            Err(error) if error.is_transient() && Instant::now() < give_up_at => {
-                tracing::warn!(%error, "start failed, retrying");
-                std::thread::sleep(launch.limits.start_retry_interval);
+    let retries = StartRetries::begin(&launch.limits);
+    let event_loop = retries.run(open_event_loop)?;
+    let handle = event_loop.handle();
+    let connections = retries.run(|| open_connection_table(&handle))?;
+    let peer_address = launch.operator.peers.as_ref().map(|peers| peers.listen);
+    let peer_socket =
+        peer_address.map(|address| retries.run(|| open_peer_socket(&handle, address))).transpose()?;
+    let listener = retries.run(|| bind_listener(&handle, launch.fixed.listen))?;
+    let mut signals = Some(retries.run(|| signals::open().map_err(StartError::Signals))?);
+    retries.run(|| signals::register(&handle, &mut signals).map_err(StartError::Signals))?;
+    retries.run(|| start_listening(&listener, launch))?;
+    Ok(StartedSockets { event_loop, sockets: Sockets { connections, listener, peer_socket } })
+}
+
+/// The retries of the steps of a start that fail with transient errors.
+struct StartRetries {
+    give_up_at: Instant,
+    interval: Duration,
+}
+
+impl StartRetries {
+    fn begin(limits: &Limits) -> StartRetries {
+        StartRetries {
+            give_up_at: Instant::now() + limits.start_retry_timeout,
+            interval: limits.start_retry_interval,
+        }
+    }
+
+    /// Runs a step of the start until the step succeeds, fails with a lasting error, or the time for retries is over.
+    fn run<T>(&self, mut step: impl FnMut() -> Result<T, StartError>) -> Result<T, StartError> {
+        loop {
+            match step() {
+                Err(error) if error.is_transient() && Instant::now() < self.give_up_at => {
+                    tracing::warn!(%error, "start failed, retrying");
+                    std::thread::sleep(self.interval);
+                }
+                done => return done,
             }
-            done => return done,
         }
     }
 }
 
-fn open(launch: &Launch) -> Result<StartedSockets, StartError> {
-    let event_loop: EventLoop<'static, Server> =
-        EventLoop::try_new().map_err(system_error).map_err(StartError::EventLoop)?;
-    let handle = event_loop.handle();
-    let connections = ConnectionTable::new().map_err(StartError::EventLoop)?;
-    register_signals(&handle).map_err(StartError::Signals)?;
-    let peers = launch.operator.peers.as_ref();
-    let peer_socket = peers.map(|peers| open_peer_socket(&handle, peers.listen)).transpose()?;
-    let listener = open_listener(&handle, launch.fixed.listen, launch.limits.backlog)?;
-    watch(&handle, connections.epoll(), Server::on_connections_ready).map_err(StartError::EventLoop)?;
-    Ok(StartedSockets { event_loop, sockets: Sockets { connections, listener, peer_socket } })
+fn open_event_loop() -> Result<EventLoop<'static, Server>, StartError> {
+    EventLoop::try_new().map_err(system_error).map_err(StartError::EventLoop)
 }
 
-fn register_signals(handle: &LoopHandle<'static, Server>) -> io::Result<()> {
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).map_err(system_error)?;
-    let inserted = handle.insert_source(signals, |event, (), server: &mut Server| match event.signal() {
-        Signal::SIGHUP => server.reload_configuration(),
-        _ => server.apply(Event::Terminate),
-    });
-    inserted.map(|_| ()).map_err(|failure| system_error(failure.error))
+fn open_connection_table(handle: &LoopHandle<'static, Server>) -> Result<ConnectionTable, StartError> {
+    let connections = ConnectionTable::new().map_err(StartError::EventLoop)?;
+    watch(handle, connections.epoll(), Server::on_connections_ready).map_err(StartError::EventLoop)?;
+    Ok(connections)
 }
 
 fn open_peer_socket(
@@ -116,18 +137,23 @@
     open().map_err(|source| StartError::PeerSocket { address, source })
 }
 
-fn open_listener(
+/// Binds the socket for clients, and registers the socket with the event loop. Clients can't connect to the socket yet.
+fn bind_listener(
     handle: &LoopHandle<'static, Server>,
     address: SocketAddr,
-    backlog: i32,
 ) -> Result<RegisteredListener, StartError> {
-    let socket =
-        listener::listen(address, backlog).map_err(|source| StartError::Listen { address, source })?;
+    let socket = listener::bind(address).map_err(|source| StartError::Listen { address, source })?;
     let socket = Rc::new(socket);
     let token = watch(handle, socket.clone(), Server::accept_clients).map_err(StartError::Listener)?;
     Ok(RegisteredListener { socket, token })
 }
 
+fn start_listening(listener: &RegisteredListener, launch: &Launch) -> Result<(), StartError> {
+    let address = launch.fixed.listen;
+    listener::listen(&listener.socket, launch.limits.backlog)
+        .map_err(|source| StartError::Listen { address, source })
+}
+
 /// Registers `source` with the event loop, which calls `on_ready` whenever there is something to read.
 fn watch<F: AsFd + 'static>(
     handle: &LoopHandle<'static, Server>,
@@ -144,7 +170,7 @@
 
 /// Extracts the system's error from an error of the event loop. If the error contains no system error, wraps the error
 /// itself.
-fn system_error(error: calloop::Error) -> io::Error {
+pub(super) fn system_error(error: calloop::Error) -> io::Error {
     match error {
         calloop::Error::IoError(error) => error,
         other => io::Error::other(other),
--- a/crates/ladderpass/tests/failing_calls.rs
+++ b/crates/ladderpass/tests/failing_calls.rs
@@ -14,8 +14,8 @@
 use ladderpass_testbed::run::{self, RunRecord, open_plan};
 use one_at_a_time::wait_for_turn;
 use std::io::Write;
-use std::net::TcpListener;
-use std::process::Child;
+use std::net::{TcpListener, TcpStream};
+use std::process::{Child, Command};
 use std::time::{Duration, Instant};
 
 /// Serves as the router if this binary was started as one, and otherwise does nothing.
@@ -216,9 +216,12 @@
 impl RouterWithoutMembers {
     fn start(failures: &[FailingSyscall], discovery: &TcpListener) -> RouterWithoutMembers {
         let start = failing_syscalls::start(failures, &[]);
-        let config = temp_file(&router_config(&[]));
         let address = common::router_address();
-        let mut command = failing_syscalls::command(&start);
+        RouterWithoutMembers::spawn(failing_syscalls::command(&start), address, discovery)
+    }
+
+    fn spawn(mut command: Command, address: String, discovery: &TcpListener) -> RouterWithoutMembers {
+        let config = temp_file(&router_config(&[]));
         command.env("RELAY_NAME", "n0").env("RELAY_LISTEN", &address).env("RELAY_CONFIG", &config);
         command
             .env("RELAY_DISCOVERY", discovery.local_addr().expect("the listener has an address").to_string());
@@ -226,15 +229,20 @@
         RouterWithoutMembers { process, config, address }
     }
 
-    fn accepts_within(&self, timeout: Duration) -> bool {
+    /// Connects as soon as the router listens, or returns None if the router does not listen within `timeout`.
+    fn connect_within(&self, timeout: Duration) -> Option<TcpStream> {
         let until = Instant::now() + timeout;
         while Instant::now() < until {
-            if std::net::TcpStream::connect(&self.address).is_ok() {
-                return true;
+            if let Ok(stream) = TcpStream::connect(&self.address) {
+                return Some(stream);
             }
             std::thread::sleep(Duration::from_millis(5));
         }
-        false
+        None
+    }
+
+    fn accepts_within(&self, timeout: Duration) -> bool {
+        self.connect_within(timeout).is_some()
     }
 }
 
@@ -309,3 +317,53 @@
         assert!(is_watched_within(&discovery, Duration::from_secs(5)), "{failure:?}");
     }
 }
+
+/// A client that has connected to a router is not reset because a later step of the router's start fails and the start
+/// is retried.
+#[test]
+fn a_start_that_fails_transiently_resets_no_client() {
+    const EPOLL_ADDITIONS_AT_START: u64 = 8;
+    let _turn = wait_for_turn();
+    let discovery = TcpListener::bind(common::unique_loopback_address()).expect("a free port");
+    for nth in 1..=EPOLL_ADDITIONS_AT_START {
+        // A delay before the failure gives the client time to connect, if the router listens already.
+        let of_nth_addition = |failure| FailingSyscall {
+            operation: Some(libc::EPOLL_CTL_ADD as u64),
+            after: Duration::ZERO,
+            every: nth,
+            count: 1,
+            ..failure
+        };
+        let failures = [
+            FailingSyscall::delay(libc::SYS_epoll_ctl, Duration::from_millis(60)),
+            FailingSyscall::with_errno(libc::SYS_epoll_ctl, libc::ENOMEM),
+        ];
+        let router = RouterWithoutMembers::start(&failures.map(of_nth_addition), &discovery);
+        let mut client = router.connect_within(Duration::from_secs(5)).expect("the router listens");
+        client.set_read_timeout(Some(Duration::from_secs(5))).expect("the read timeout is set");
+        let sent = client.write_all(&[common::startup(), common::query("")].concat());
+        let is_answered =
+            std::iter::from_fn(|| common::next_frame(&mut client)).any(|(kind, _)| kind == b'I');
+        assert!(sent.is_ok() && is_answered, "reset because addition {nth} to an epoll set failed");
+    }
+}
+
+/// A SIGHUP must not end a router whose start is retried because its address still belongs to another process.
+#[test]
+fn a_sighup_while_the_start_is_retried_does_not_end_the_router() {
+    let _turn = wait_for_turn();
+    let discovery = TcpListener::bind(common::unique_loopback_address()).expect("a free port");
+    let address = common::router_address();
+    let earlier_process = TcpListener::bind(&address).expect("the address is free");
+    let command = Command::new(env!("CARGO_BIN_EXE_ladderpass"));
+    let mut router = RouterWithoutMembers::spawn(command, address, &discovery);
+    let pid = nix::unistd::Pid::from_raw(router.process.id() as i32);
+    for _ in 0..10 {
+        std::thread::sleep(Duration::from_millis(50));
+        nix::sys::signal::kill(pid, nix::sys::signal::Signal::SIGHUP).expect("the process runs");
+    }
+    drop(earlier_process);
+    let ended = router.process.try_wait().expect("the process can be waited for");
+    assert_eq!(ended, None, "SIGHUP has ended the process");
+    assert!(is_watched_within(&discovery, Duration::from_secs(5)), "the router does not serve");
+}
--- a/crates/ladderpass/tests/failing_syscalls/mod.rs
+++ b/crates/ladderpass/tests/failing_syscalls/mod.rs
@@ -26,6 +26,22 @@
     Delay(Duration),
 }
 
+impl SyscallFault {
+    fn as_error(self) -> Option<i32> {
+        match self {
+            SyscallFault::Error(errno) => Some(errno),
+            SyscallFault::Delay(_) => None,
+        }
+    }
+
+    fn as_delay(self) -> Option<Duration> {
+        match self {
+            SyscallFault::Delay(duration) => Some(duration),
+            SyscallFault::Error(_) => None,
+        }
+    }
+}
+
 /// System calls that fail or are delayed: `count` calls in all, namely every `every`th call that matches, from the time
 /// `after` the start of the process on.
 #[derive(Clone, Copy, Debug)]
@@ -298,8 +314,8 @@
 /// Answers the kernel's questions about system calls. Each call is carried out, fails or is delayed, as `failures` say.
 fn supervise(listener: Receiver<i32>, failures: Vec<FailingSyscall>, started_at: Instant) {
     let Ok(listener) = listener.recv() else { return };
-    let mut remaining: Vec<(FailingSyscall, u64, u64)> =
-        failures.into_iter().map(|f| (f, 0, f.count)).collect();
+    let mut remaining: Vec<RemainingFaults> =
+        failures.into_iter().map(|plan| RemainingFaults { plan, seen: 0, count: plan.count }).collect();
     loop {
         // SAFETY: both structs have the kernel's layout and the size that the ioctl numbers encode. The notification is
         // zeroed, as the kernel requires.
@@ -314,29 +330,46 @@
                     && failure.operation.is_none_or(|operation| operation == notification.arguments[1])
                     && started_at.elapsed() >= failure.after
             };
-            remaining.iter_mut().filter(|(failure, ..)| matches(failure)).for_each(|(_, seen, _)| *seen += 1);
-            let due = remaining.iter_mut().find(|(failure, seen, count)| {
-                matches(failure) && *count > 0 && seen.is_multiple_of(failure.every)
-            });
-            if let Some((failure, _, count)) = due {
-                *count -= 1;
-                let (call, last) = (failure.call, *count == 0);
-                match failure.fault {
-                    SyscallFault::Error(errno) => {
-                        (response.error, response.flags) = (-errno, 0);
-                        if last {
-                            eprintln!("all failures of call {call} with {errno} have happened");
-                        }
-                    }
-                    SyscallFault::Delay(duration) => {
-                        if last {
-                            eprintln!("all delays of call {call} have happened");
-                        }
-                        std::thread::sleep(duration);
-                    }
+            remaining.iter_mut().filter(|faults| matches(&faults.plan)).for_each(|faults| faults.seen += 1);
+            // A call may be delayed and then fail.
+            if let Some((duration, last)) = take_due(&mut remaining, matches, SyscallFault::as_delay) {
+                if last {
+                    eprintln!("all delays of call {} have happened", notification.call);
+                }
+                std::thread::sleep(duration);
+            }
+            if let Some((errno, last)) = take_due(&mut remaining, matches, SyscallFault::as_error) {
+                (response.error, response.flags) = (-errno, 0);
+                if last {
+                    eprintln!("all failures of call {} with {errno} have happened", notification.call);
                 }
             }
             libc::ioctl(listener, SEND_RESPONSE, &response);
         }
     }
 }
+
+/// The faults that are left of one entry of the plan.
+struct RemainingFaults {
+    plan: FailingSyscall,
+    /// The number of calls so far that match the entry.
+    seen: u64,
+    /// The number of faults that are still to happen.
+    count: u64,
+}
+
+/// Uses up a fault that is due, of those that `matches` and `kind` select. Returns its value, and whether it is the last
+/// fault of its entry.
+fn take_due<T>(
+    remaining: &mut [RemainingFaults],
+    matches: impl Fn(&FailingSyscall) -> bool,
+    kind: impl Fn(SyscallFault) -> Option<T>,
+) -> Option<(T, bool)> {
+    remaining.iter_mut().find_map(|faults| {
+        let is_due =
+            matches(&faults.plan) && faults.count > 0 && faults.seen.is_multiple_of(faults.plan.every);
+        let value = kind(faults.plan.fault).filter(|_| is_due)?;
+        faults.count -= 1;
+        Some((value, faults.count == 0))
+    })
+}
