A rejected RPC releases its id, so that its retry is not refused as a duplicate

What callers saw: 53300 with a Retry-After, and 23505 for the retry with the same id. Found by reading.

Cause: accept_rpc.rs reserved the id at the acceptance until 5 s past the deadline; no ending released it. Evidence: reducer::rpc_ids::the_id_of_a_rejected_rpc_is_accepted_again failed before this change with ["53300", "23505"] for ["53300", "53300"].

Change: ids of RPCs in flight and ids of ended RPCs are two sets without overlap; the end of an RPC moves its id to the second, except a 53300, which promises that a retry is harmless. What may have run keeps its id reserved (second test of the file, which passed before too).

--- a/crates/ladderpass/src/reducer/handlers/accept_rpc.rs
+++ b/crates/ladderpass/src/reducer/handlers/accept_rpc.rs
@@ -78,8 +78,6 @@
     fn begin_rpc(&mut self, now: Time, id: ConnectionId, rpc: RpcId, statement: Statement) {
         let Statement { arrival, wait_at, id_hash, priority, .. } = statement;
         let Arrival { method, group, deadline, .. } = arrival;
-        let id_expires_at = deadline + self.limits.remembered_id_ttl;
-        self.rpcs.reserve_id(now, id_hash, id_expires_at, self.limits.remembered_ids);
         if let Some(client) = self.connections.client_mut(id) {
             client.begin_rpc(rpc);
         }
--- a/crates/ladderpass/src/reducer/handlers/attempts.rs
+++ b/crates/ladderpass/src/reducer/handlers/attempts.rs
@@ -127,7 +127,7 @@
             }
         }
         if has_no_client {
-            self.rpcs.remove(rpc);
+            self.rpcs.remove(now, rpc, &self.limits);
         }
         let decision = rpc.on_attempt_ended(&mut self.router, now, result);
         self.apply_decision(now, rpc, decision);
--- a/crates/ladderpass/src/reducer/handlers/cancellation.rs
+++ b/crates/ladderpass/src/reducer/handlers/cancellation.rs
@@ -52,7 +52,7 @@
         let Some(entry) = self.rpcs.get_mut(rpc) else { return };
         entry.take_client();
         match entry.connection() {
-            None => self.rpcs.remove(rpc),
+            None => self.rpcs.remove(now, rpc, &self.limits),
             Some(connection) => self.withdraw_job(now, connection),
         }
     }
--- a/crates/ladderpass/src/reducer/handlers/rpc_answers.rs
+++ b/crates/ladderpass/src/reducer/handlers/rpc_answers.rs
@@ -67,8 +67,11 @@
             peers.refund_retry(group);
         }
         let time_with_members = entry.time_with_members(now);
+        if matches!(decision, Decision::Reject { .. }) && !is_cancelled {
+            entry.reject();
+        }
         if entry.connection().is_none() {
-            self.rpcs.remove(rpc);
+            self.rpcs.remove(now, rpc, &self.limits);
         }
         let Some(client) = client else { return };
         if let Some(state) = self.connections.client_mut(client) {
--- a/crates/ladderpass/src/reducer/state/rpc_ids.rs
+++ b/crates/ladderpass/src/reducer/state/rpc_ids.rs
@@ -13,9 +13,9 @@
 #[derive(Default)]
 pub(super) struct RpcIds {
     key: foldhash::fast::RandomState,
-    /// Ids of RPCs, in flight or ended, that are kept until they expire.
+    /// Ids of RPCs that have ended, which are kept until they expire.
     remembered: FxHashSet<u64>,
-    /// Ids of RPCs in flight. Each id is kept until its RPC ends, however many RPCs begin in the meantime.
+    /// Ids of RPCs in flight. Each id is kept until its RPC ends, however many RPCs end in the meantime.
     in_flight: FxHashSet<u64>,
     /// The remembered ids by the time step in which they expire. The order of ids within a step does not matter.
     expiring: BTreeMap<i64, Vec<u64>>,
@@ -30,16 +30,21 @@
         self.remembered.contains(&id) || self.in_flight.contains(&id)
     }
 
-    /// Records that the RPC with this id has ended. The id itself stays remembered until it expires.
-    pub(super) fn release_in_flight(&mut self, id: u64) {
+    /// Records that an RPC with this id begins.
+    pub(super) fn begin(&mut self, id: u64) {
+        self.in_flight.insert(id);
+    }
+
+    /// Records that the RPC with this id has ended, and forgets the id.
+    pub(super) fn forget(&mut self, id: u64) {
         self.in_flight.remove(&id);
     }
 
-    /// Records that an RPC with this id begins. The id is kept at least until the RPC ends, and is remembered until
-    /// `expires_at`. Ids that have expired are forgotten. If `max_remembered` or more unexpired ids remain, the ids
-    /// that expire first are forgotten as well, until fewer remain.
-    pub(super) fn reserve(&mut self, now: Time, id: u64, expires_at: Time, max_remembered: usize) {
-        self.in_flight.insert(id);
+    /// Records that the RPC with this id has ended, and remembers the id until `expires_at`. Ids that have expired are
+    /// forgotten. If `max_remembered` or more unexpired ids remain, the ids that expire first are forgotten as well,
+    /// until fewer remain.
+    pub(super) fn remember(&mut self, now: Time, id: u64, expires_at: Time, max_remembered: usize) {
+        self.in_flight.remove(&id);
         while let Some(mut step) = self.expiring.first_entry()
             && (step.key() * EXPIRY_STEP_NANOS <= now.nanos() || self.remembered.len() >= max_remembered)
         {
--- a/crates/ladderpass/src/reducer/state/rpc_table.rs
+++ b/crates/ladderpass/src/reducer/state/rpc_table.rs
@@ -1,6 +1,7 @@
 //! The RPCs in flight, and the ids that no other RPC may use.
 
 use super::rpc_ids::RpcIds;
+use crate::limits::Limits;
 use crate::reducer::connection_id::ConnectionId;
 use ladderpass_routing::{AttemptOutcome, RpcId, Span, Time};
 use rustc_hash::FxHashMap;
@@ -43,6 +44,8 @@
     connection: Option<ConnectionId>,
     /// Whether an attempt of the RPC has ended with an outcome that does not prove that the RPC never ran at a member.
     may_have_run: bool,
+    /// Whether the RPC was answered with a rejection, so that the client may retry it with the same id.
+    is_rejected: bool,
     /// Whether the client has asked to cancel the RPC. If so, no further attempt of the RPC begins.
     is_cancelled: bool,
     /// Tracing span of the RPC and its attempts, at debug level only.
@@ -66,6 +69,7 @@
             retry_withdrawn: false,
             connection: None,
             may_have_run: false,
+            is_rejected: false,
             is_cancelled: false,
             span,
         }
@@ -140,6 +144,10 @@
         self.may_have_run
     }
 
+    pub(in crate::reducer) fn reject(&mut self) {
+        self.is_rejected = true;
+    }
+
     pub(in crate::reducer) fn cancel(&mut self) {
         self.is_cancelled = true;
     }
@@ -187,26 +195,20 @@
         self.ids.contains(id_hash)
     }
 
-    /// Reserves the id of an RPC until the RPC is removed from the table. After that, the id is remembered until
-    /// `expires_at`, or is forgotten earlier so that at most `max_remembered` ids are remembered.
-    pub(in crate::reducer) fn reserve_id(
-        &mut self,
-        now: Time,
-        id_hash: u64,
-        expires_at: Time,
-        max_remembered: usize,
-    ) {
-        self.ids.reserve(now, id_hash, expires_at, max_remembered);
-    }
-
+    /// Adds an RPC, and reserves its id until the RPC is removed.
     pub(in crate::reducer) fn insert(&mut self, rpc: RpcId, entry: RpcInFlight) {
+        self.ids.begin(entry.description.id_hash);
         self.in_flight.insert(rpc, entry);
     }
 
-    /// Removes an RPC that has no attempt in flight, and that has its final answer or whose client has left.
-    pub(in crate::reducer) fn remove(&mut self, rpc: RpcId) {
-        if let Some(entry) = self.in_flight.remove(&rpc) {
-            self.ids.release_in_flight(entry.description.id_hash);
+    /// Removes an RPC that has no attempt in flight, and that has its final answer or whose client has left. Unless the
+    /// RPC was rejected, its id is remembered for a time, so that the client can't have the RPC executed a second time.
+    pub(in crate::reducer) fn remove(&mut self, now: Time, rpc: RpcId, limits: &Limits) {
+        let Some(RpcInFlight { description, is_rejected, .. }) = self.in_flight.remove(&rpc) else { return };
+        if is_rejected {
+            return self.ids.forget(description.id_hash);
         }
+        let expires_at = description.deadline + limits.remembered_id_ttl;
+        self.ids.remember(now, description.id_hash, expires_at, limits.remembered_ids);
     }
 }
--- a/crates/ladderpass/tests/reducer/main.rs
+++ b/crates/ladderpass/tests/reducer/main.rs
@@ -12,5 +12,6 @@
 mod limits;
 mod parsers;
 mod random_runs;
+mod rpc_ids;
 mod scenarios;
 mod simulation;
