Testbed: all records of a run follow from one reading of the wall clock

The fault tool read the wall clock and the start of its own clock on different lines; a pause between them dates all its attempts early, and a retry after a member's rejection then stands before the rejection. Load and members read a wall clock that may be stepped.

Change: the testbed reads the wall clock once; the fault tool has only the monotonic time of its start. A double write can't hide behind disagreeing clocks. New test in history_checker; commands of the fault tool move to a module of their own, unchanged.

--- a/crates/ladderpass-emulator/src/lib.rs
+++ b/crates/ladderpass-emulator/src/lib.rs
@@ -18,7 +18,7 @@
 pub mod scenario;
 mod scenario_error;
 
-pub use clock::now;
+pub use clock::{now, time_of};
 pub use execution_log::ExecutionLog;
 pub use loopback::RunningEmulator;
 pub use model::{ConnectionId, Input, Model, Output, Reply, Request};
--- a/crates/ladderpass-fault-injection/src/driver.rs
+++ b/crates/ladderpass-fault-injection/src/driver.rs
@@ -1,6 +1,7 @@
 //! A running tool: a thread that owns the links, both sockets of each connection, the control socket and the clock. The
 //! engine decides what happens to bytes.
 
+mod commands;
 mod control_socket;
 mod endpoint;
 mod event_loop;
@@ -13,7 +14,6 @@
 use crate::plan::Plan;
 use control_socket::ControlSocket;
 use event_loop::{EventLoop, LocalCommand, WAKE};
-use ladderpass_routing::Time;
 use mio::{Poll, Waker};
 use std::io;
 use std::net::SocketAddr;
@@ -21,7 +21,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Sender, channel};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 /// The longest time that `RunningTool::send_command` waits for an answer.
 const COMMAND_TIMEOUT: Duration = Duration::from_secs(5);
@@ -34,6 +34,7 @@
     waker: Arc<Waker>,
     commands: Sender<LocalCommand>,
     thread: Option<std::thread::JoinHandle<RunSummary>>,
+    started_at: Instant,
     /// The part of the tool that forwards datagrams, if the plan has datagram ends.
     pub datagrams: Option<RunningDatagrams>,
 }
@@ -56,17 +57,16 @@
             listeners.iter().map(|listener| listener.local_addr()).collect::<io::Result<Vec<_>>>()?;
         let control = control.map(|path| ControlSocket::bind(path, poll.registry())).transpose()?;
         let stop = Arc::new(AtomicBool::new(false));
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let started_at = Time::from_nanos(unix.as_nanos() as i64);
-        let mut event_loop = EventLoop::new(plan, poll, listeners, control, receiver);
+        let started_at = Instant::now();
+        let mut event_loop = EventLoop::new(started_at, plan, poll, listeners, control, receiver);
         let stopped = stop.clone();
         let thread = std::thread::Builder::new().name("faults".into()).spawn(move || {
             if let Err(error) = event_loop.run(&stopped) {
                 eprintln!("ladderpass-fault-injection: {error}");
             }
-            event_loop.finish(started_at)
+            event_loop.finish()
         })?;
-        Ok(RunningTool { addresses, stop, waker, commands, thread: Some(thread), datagrams })
+        Ok(RunningTool { addresses, stop, waker, commands, thread: Some(thread), started_at, datagrams })
     }
 
     /// Executes one command line, in the form that the control socket accepts, and returns the answer. The command
@@ -89,7 +89,8 @@
 
     /// Stops the tool, which closes all connections, and returns the summary of the run.
     pub fn stop(mut self) -> RunSummary {
-        self.join().unwrap_or_default()
+        let started_at = self.started_at;
+        self.join().unwrap_or_else(|| RunSummary::empty(started_at))
     }
 
     fn join(&mut self) -> Option<RunSummary> {
--- a/crates/ladderpass-fault-injection/src/driver/event_loop.rs
+++ b/crates/ladderpass-fault-injection/src/driver/event_loop.rs
@@ -1,10 +1,9 @@
 //! The event loop of a running tool. It serves the listeners, the sockets of all connections and the control socket,
 //! and executes delayed operations when they are due.
 
-use super::control_socket::{CONTROL, ControlClients, ControlSocket, Wait};
+use super::control_socket::{CONTROL, ControlClients, ControlSocket};
 use super::endpoint::{CloseMode, Endpoint, EndpointPair};
 use super::run_summary::RunSummary;
-use crate::control::{self, CommandResult, Reply};
 use crate::engine::{ConnectionId, Engine, Operation, ScheduledOperation};
 use crate::plan::{Plan, Side};
 use ladderpass_routing::Time;
@@ -31,12 +30,12 @@
 }
 
 pub struct EventLoop {
-    poll: Poll,
-    engine: Engine,
+    pub(super) poll: Poll,
+    pub(super) engine: Engine,
     /// Address that each link forwards to.
     targets: Vec<SocketAddr>,
     listeners: Vec<TcpListener>,
-    control: Option<ControlSocket>,
+    pub(super) control: Option<ControlSocket>,
     started: Instant,
     last_token: usize,
     endpoints: HashMap<usize, Endpoint>,
@@ -45,8 +44,8 @@
     delayed: BTreeMap<(Time, u64), ScheduledOperation>,
     /// Sequence number of the operation that was delayed last.
     last_sequence: u64,
-    control_clients: ControlClients,
-    commands: Receiver<LocalCommand>,
+    pub(super) control_clients: ControlClients,
+    pub(super) commands: Receiver<LocalCommand>,
 }
 
 /// Binds the listeners of a plan's links.
@@ -62,7 +61,9 @@
 }
 
 impl EventLoop {
+    /// Creates the event loop of a tool that started at `started`, from which its times are counted.
     pub fn new(
+        started: Instant,
         plan: Plan,
         poll: Poll,
         listeners: Vec<TcpListener>,
@@ -70,7 +71,7 @@
         commands: Receiver<LocalCommand>,
     ) -> EventLoop {
         EventLoop {
-            started: Instant::now(),
+            started,
             last_token: FIRST_LINK + plan.links.len(),
             targets: plan.links.iter().map(|link| link.to).collect(),
             engine: Engine::new(Time::from_nanos(0), plan),
@@ -87,18 +88,18 @@
     }
 
     /// Closes the control socket, and returns the summary of the run.
-    pub fn finish(&mut self, started_at: Time) -> RunSummary {
+    pub fn finish(&mut self) -> RunSummary {
         self.control = None;
         RunSummary {
             record: self.engine.record().to_vec(),
             attempts: self.engine.take_attempts(),
-            started_at,
+            started_at: self.started,
             never_fired: self.engine.never_fired().into_iter().map(str::to_owned).collect(),
         }
     }
 
-    /// Returns the time since the event loop was created.
-    fn now(&self) -> Time {
+    /// Returns the time since the tool was started.
+    pub(super) fn now(&self) -> Time {
         Time::from_nanos(self.started.elapsed().as_nanos() as i64)
     }
 
@@ -146,7 +147,7 @@
         Ok(())
     }
 
-    fn next_token(&mut self) -> usize {
+    pub(super) fn next_token(&mut self) -> usize {
         self.last_token += 1;
         self.last_token
     }
@@ -208,7 +209,7 @@
     }
 
     /// Executes the operations that are due, and delays the others.
-    fn schedule(&mut self, operations: Vec<ScheduledOperation>) {
+    pub(super) fn schedule(&mut self, operations: Vec<ScheduledOperation>) {
         let now = self.now();
         // Delayed operations that have become due by now come first, to keep the order of each direction.
         self.execute_due(now);
@@ -354,45 +355,4 @@
         };
         pair.endpoints.into_iter().all(is_drained)
     }
-
-    fn run_local_commands(&mut self) {
-        while let Ok(command) = self.commands.try_recv() {
-            let now = self.now();
-            let CommandResult { reply, operations } =
-                control::execute_line(&mut self.engine, now, &command.line);
-            self.schedule(operations);
-            let text = match reply {
-                Reply::Immediate(text) => text,
-                Reply::Deferred { .. } => "error wait is available on the control socket only".into(),
-            };
-            // A failure to pass on the answer is ignored, since the caller may have stopped waiting for the answer.
-            let _ = command.answer.send(text);
-        }
-    }
-
-    fn accept_control_clients(&mut self) -> io::Result<()> {
-        while let Some(mut stream) = self.control.as_ref().and_then(ControlSocket::accept) {
-            let index = self.next_token();
-            self.poll.registry().register(&mut stream, Token(index), Interest::READABLE)?;
-            self.control_clients.add(index, stream);
-        }
-        Ok(())
-    }
-
-    fn serve_control_client(&mut self, index: usize) {
-        if !self.control_clients.read(index) {
-            return;
-        }
-        while let Some(line) = self.control_clients.next_line(index) {
-            let now = self.now();
-            let CommandResult { reply, operations } = control::execute_line(&mut self.engine, now, &line);
-            self.schedule(operations);
-            match reply {
-                Reply::Immediate(text) => self.control_clients.reply(index, &text),
-                Reply::Deferred { until, rule, hits } => {
-                    self.control_clients.set_wait(index, Wait { until, rule, hits });
-                }
-            }
-        }
-    }
 }
--- a/crates/ladderpass-testbed/src/drill/play/record.rs
+++ b/crates/ladderpass-testbed/src/drill/play/record.rs
@@ -7,7 +7,7 @@
 use crate::history_checker::{Absence, ColdStart, History, MemberLink};
 use crate::load::Outcome;
 use crate::router::Router;
-use ladderpass_emulator::ExecutionLog;
+use ladderpass_emulator::{ExecutionLog, time_of};
 use ladderpass_fault_injection::TrafficCounts;
 use ladderpass_invariants::{Tolerance, Violation};
 use ladderpass_routing::Span;
@@ -105,7 +105,7 @@
             seed: self.seed,
             journal: &outcome.journal,
             attempts: &summary.attempts,
-            tool_started_at: summary.started_at,
+            tool_started_at: time_of(summary.started_at),
             execution_log: &execution_log,
             absences: &self.absences,
             drain_notices: &self.drain_notices,
--- a/crates/ladderpass-testbed/src/history_checker/events.rs
+++ b/crates/ladderpass-testbed/src/history_checker/events.rs
@@ -13,19 +13,19 @@
 /// answered.
 const END_AFTER_LAST_DEADLINE: Span = Span::from_millis(10_000);
 /// Number of the rule on effects of writes. Wrong answers to writes are reported as violations of this rule.
-const EFFECTS_RULE: u8 = 2;
+pub(super) const EFFECTS_RULE: u8 = 2;
 
 /// The begin or the end of an attempt, as the fault tool observed it.
-struct ObservedAttempt {
-    at: Time,
-    link: MemberLink,
-    rpc: u64,
-    begins: bool,
+pub(super) struct ObservedAttempt {
+    pub(super) at: Time,
+    pub(super) link: MemberLink,
+    pub(super) rpc: u64,
+    pub(super) begins: bool,
 }
 
 impl ObservedAttempt {
     /// Returns the begin or end as an event for the checkers.
-    fn event(&self) -> Event {
+    pub(super) fn event(&self) -> Event {
         let (rpc, member) = (self.rpc, self.link.member);
         let kind = match self.begins {
             true => EventKind::AttemptSent { rpc, member },
@@ -38,7 +38,7 @@
 impl History<'_> {
     /// Returns the number of an RPC from its id, which is `SEED-NUMBER` in hex. Returns `None` for RPCs of another
     /// load.
-    fn rpc_number(&self, id: &str) -> Option<u64> {
+    pub(super) fn rpc_number(&self, id: &str) -> Option<u64> {
         let (seed, number) = id.split_once('-')?;
         (u64::from_str_radix(seed, 16) == Ok(self.seed)).then_some(())?;
         u64::from_str_radix(number, 16).ok()
@@ -95,7 +95,7 @@
     }
 
     /// Returns the begins and ends of attempts that the fault tool observed on links to members.
-    fn observed_attempts(&self) -> impl Iterator<Item = ObservedAttempt> {
+    pub(super) fn observed_attempts(&self) -> impl Iterator<Item = ObservedAttempt> {
         self.attempts.iter().filter_map(|attempt| {
             let link = *self.links.get(&attempt.link)?;
             let at = self.tool_started_at + (attempt.at - Time::from_nanos(0));
--- a/crates/ladderpass-testbed/src/history_checker/mod.rs
+++ b/crates/ladderpass-testbed/src/history_checker/mod.rs
@@ -9,9 +9,11 @@
 //! | --- | --- |
 //! | `inputs` | records that the load, the fault tool and the emulator do not make |
 //! | `slow_start` | members that start cold, and rule 4 on them over the attempts of all routers |
+//! | `clocks` | records whose times show that their clocks disagree |
 //! | `events` | conversion of records into events for the checkers |
 //! | `replay` | passes events to one checker, in order of time and cause |
 
+mod clocks;
 mod events;
 mod inputs;
 mod replay;
@@ -68,6 +70,7 @@
         violations.extend(check_events(self.slow_start_events(None), SlowStart::default()));
         violations.extend(check_events(self.read_events(), Staleness::new(self.tolerance)));
         violations.extend(self.wrong_write_answers());
+        violations.extend(self.clock_disagreements());
         violations
     }
 
--- a/crates/ladderpass-testbed/src/run/mod.rs
+++ b/crates/ladderpass-testbed/src/run/mod.rs
@@ -19,7 +19,7 @@
 use crate::router::{Router, Start, exclude_core};
 use crate::router_log;
 use crate::step_error::{Step, in_step};
-use ladderpass_emulator::{RunningEmulator, Scenario};
+use ladderpass_emulator::{RunningEmulator, Scenario, time_of};
 use ladderpass_fault_injection::Rule;
 use ladderpass_fault_injection::driver::{self, RunSummary};
 use ladderpass_routing::Time;
@@ -136,7 +136,7 @@
         warm_member_rpcs_per_second: WARM_MEMBER_RPCS_PER_SECOND,
         scenario: scenario.clone(),
         seed: plan.seed,
-        tool_started_at: summary.as_ref().map_or(Time::default(), |summary| summary.started_at),
+        tool_started_at: summary.as_ref().map_or(Time::default(), |summary| time_of(summary.started_at)),
         attempts: summary.as_mut().map_or(Vec::new(), |summary| std::mem::take(&mut summary.attempts)),
         absences,
     };
--- a/crates/ladderpass-testbed/tests/history_checker.rs
+++ b/crates/ladderpass-testbed/tests/history_checker.rs
@@ -215,3 +215,18 @@
     assert_eq!(check(78).violations.len(), 1);
     assert_eq!(check(0).max_excess, f64::NEG_INFINITY);
 }
+
+/// The records of the load, the fault tool and the members are sorted together, so their clocks must agree.
+#[test]
+fn an_attempt_older_than_its_rpc_or_younger_than_its_arrival_is_a_violation() {
+    let sent_at = RecordedRun::new().journal[1].sent;
+    let sent_ms = (sent_at - at(0)).nanos() / 1_000_000;
+    for (attempt_ms, arrival_ms, is_violation) in [(1, 2, false), (-1, 2, true), (3, 2, true), (2, 2, false)]
+    {
+        let mut run = RecordedRun::new();
+        run.observe(sent_ms + attempt_ms, 0, 2, true);
+        run.execute(sent_ms + arrival_ms, 0, 2);
+        run.observe(sent_ms + 4, 0, 2, false);
+        assert_eq!(!run.violated_rules().is_empty(), is_violation, "{attempt_ms} {arrival_ms}");
+    }
+}
