Shutdown keeps idle connections open until their next answer; judges go by resets

What callers saw: a statement sent around SIGTERM had no answer, since nearly all idle connections were closed in the millisecond of the signal.

Evidence: the load records how a connection with an unanswered RPC ends.

Change: no connection is closed at SIGTERM for being idle; each is closed behind its next answer, or after 0.6 s.

The fault tool forwards a reset behind the end of a stream.

--- a/crates/ladderpass-fault-injection/src/driver/endpoint.rs
+++ b/crates/ladderpass-fault-injection/src/driver/endpoint.rs
@@ -14,6 +14,8 @@
     pub output: VecDeque<u8>,
     /// The write direction of the socket is to be shut down once the output is written.
     pub shutdown_pending: bool,
+    /// The write direction of the socket has been shut down.
+    pub is_shut_down: bool,
     /// The peer has ended the read direction of the socket.
     pub read_ended: bool,
     /// The socket is not read, because too many of the bytes that were read from it are held or delayed.
@@ -47,6 +49,7 @@
             side,
             output,
             shutdown_pending: false,
+            is_shut_down: false,
             read_ended: false,
             is_paused: false,
         }
--- a/crates/ladderpass-fault-injection/src/driver/event_loop.rs
+++ b/crates/ladderpass-fault-injection/src/driver/event_loop.rs
@@ -286,7 +286,7 @@
             let Some(endpoint) = self.endpoints.get(&index) else { return };
             let (connection, side) = (endpoint.connection, endpoint.side);
             if endpoint.read_ended {
-                return;
+                return self.forward_reset(index);
             }
             let may_read = self.engine.may_read(connection, side, self.unsent_bytes(connection, side));
             let Some(endpoint) = self.endpoints.get_mut(&index) else { return };
@@ -310,6 +310,20 @@
         }
     }
 
+    /// Resets a connection if one side was reset after the end of its stream, as it is when bytes reach a socket that
+    /// its process has closed. The other side gets the end of the stream first, and learns from the reset that its last
+    /// bytes were not read.
+    fn forward_reset(&mut self, index: usize) {
+        let Some(endpoint) = self.endpoints.get(&index) else { return };
+        let connection = endpoint.connection;
+        let receiver = self.endpoint(connection, endpoint.side.other());
+        let receiver = receiver.and_then(|receiver| self.endpoints.get(&receiver));
+        let is_end_forwarded = receiver.is_some_and(|receiver| receiver.is_shut_down);
+        if is_end_forwarded && endpoint.stream.take_error().is_ok_and(|error| error.is_some()) {
+            self.close(connection, CloseMode::Reset);
+        }
+    }
+
     /// Returns how many bytes that `sender` sent on a connection are delayed, or not written to the other side yet.
     fn unsent_bytes(&self, connection: ConnectionId, sender: Side) -> usize {
         let receiver = sender.other();
@@ -337,10 +351,16 @@
         if endpoint.shutdown_pending {
             // A failure to shut down the socket is ignored, since the socket may be closed already.
             let _ = endpoint.stream.shutdown(std::net::Shutdown::Write);
-            endpoint.shutdown_pending = false;
+            (endpoint.shutdown_pending, endpoint.is_shut_down) = (false, true);
         }
+        let sender = endpoint.side.other();
         if self.is_finished(connection) {
-            self.close(connection, CloseMode::Normal);
+            return self.close(connection, CloseMode::Normal);
+        }
+        if let Some(sender) = self.endpoint(connection, sender)
+            && self.endpoints.get(&sender).is_some_and(|sender| sender.read_ended)
+        {
+            self.forward_reset(sender);
         }
     }
 
--- a/crates/ladderpass-testbed/src/history_checker/mod.rs
+++ b/crates/ladderpass-testbed/src/history_checker/mod.rs
@@ -3,7 +3,8 @@
 //! Its inputs are the answers to clients, the attempts that the fault tool forwarded for each router, and what
 //! members observed. It uses no data that routers report about themselves. It converts these records into events for
 //! the checkers of `ladderpass-invariants`. It excuses an unanswered or late RPC only if its router was killed,
-//! frozen or cut off, or if the RPC was sent after its router began to shut down.
+//! frozen or cut off, if the RPC was sent after its router began to shut down, or if the RPC arrived at a connection that
+//! the router had closed in its shutdown.
 //!
 //! | module | job |
 //! | --- | --- |
--- a/crates/ladderpass-testbed/src/load/connections.rs
+++ b/crates/ladderpass-testbed/src/load/connections.rs
@@ -1,6 +1,8 @@
 //! Connections of a load: opens, writes and reads them, and replaces those that a router ends.
 
-use super::generator::{ClientConnection, ClientKind, LoadGenerator, PartialAnswer, Reconnect};
+use super::closed_connections::ClosedConnection;
+use super::generator::{ClientConnection, ClientKind, InFlightRpc, LoadGenerator, PartialAnswer, Reconnect};
+use super::outcome::ConnectionEnd;
 use ladderpass_emulator::{now, proto};
 use ladderpass_routing::{Span, Time};
 use mio::net::TcpStream;
@@ -21,6 +23,28 @@
 /// in the kernel.
 const SLOW_READER_RECEIVE_BYTES: usize = 4096;
 
+/// What showed a client that its connection has ended.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum LostBy {
+    EndOfStream,
+    Refusal,
+    Reset,
+}
+
+impl LostBy {
+    fn of_error(error: &io::Error) -> LostBy {
+        if error.kind() == ErrorKind::ConnectionRefused { LostBy::Refusal } else { LostBy::Reset }
+    }
+
+    fn connection_end(self) -> Option<ConnectionEnd> {
+        match self {
+            LostBy::EndOfStream => Some(ConnectionEnd::Closed),
+            LostBy::Refusal => None,
+            LostBy::Reset => Some(ConnectionEnd::Reset),
+        }
+    }
+}
+
 impl LoadGenerator<'_> {
     /// Reopens lost connections that are due, and reconnects idle roaming connections whose stay is over. The load
     /// balancer draws the router of each connection, which may be the same router as before.
@@ -79,9 +103,7 @@
                     return;
                 }
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) => {
-                    return self.connection_lost(index, error.kind() == ErrorKind::ConnectionRefused);
-                }
+                Err(error) => return self.connection_lost(index, LostBy::of_error(&error)),
             }
         }
         client.output.clear();
@@ -103,7 +125,7 @@
                 return;
             }
             match client.stream.read(buffer) {
-                Ok(0) => return self.connection_lost(index, false),
+                Ok(0) => return self.connection_lost(index, LostBy::EndOfStream),
                 Ok(count) => {
                     client.input.extend_from_slice(&buffer[..count]);
                     self.handle_input(index);
@@ -113,29 +135,34 @@
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) => {
-                    return self.connection_lost(index, error.kind() == ErrorKind::ConnectionRefused);
-                }
+                Err(error) => return self.connection_lost(index, LostBy::of_error(&error)),
             }
         }
     }
 
     /// Handles the end of a connection. Counts the RPCs in flight on the connection as unanswered, and reopens the
     /// connection unless the client is a slow reader or the load has ended.
-    fn connection_lost(&mut self, index: usize, refused: bool) {
+    fn connection_lost(&mut self, index: usize, lost_by: LostBy) {
         let Some(client) = self.clients[index].take() else { return };
         let now = now();
-        for rpc in client.in_flight {
+        let unanswered: Vec<InFlightRpc> =
+            client.in_flight.into_iter().filter(|rpc| !rpc.background).collect();
+        for rpc in &unanswered {
             if let Some(entry) = self.journal_entry(rpc.number) {
-                (entry.lost, entry.refused) = (Some(now), refused);
+                (entry.lost, entry.refused) = (Some(now), lost_by == LostBy::Refusal);
+                entry.connection_end = lost_by.connection_end();
             }
-            if !rpc.background {
-                self.in_flight -= 1;
-                if !rpc.abandoned {
-                    self.count(rpc.due, rpc.method, |counts| counts.unanswered += 1);
-                }
+            self.in_flight -= 1;
+            if !rpc.abandoned {
+                self.count(rpc.due, rpc.method, |counts| counts.unanswered += 1);
             }
         }
+        if lost_by == LostBy::EndOfStream && !unanswered.is_empty() {
+            let mut stream = client.stream;
+            // A failure is ignored: events of this socket for the index of another connection have no effect.
+            let _ = self.poll.registry().deregister(&mut stream);
+            self.closed_connections.push(ClosedConnection { stream, unanswered, closed_at: now });
+        }
         if now >= self.ends || client.kind == ClientKind::SlowReader {
             return;
         }
--- a/crates/ladderpass-testbed/src/load/event_loop.rs
+++ b/crates/ladderpass-testbed/src/load/event_loop.rs
@@ -31,6 +31,7 @@
             self.queue_arrivals(now);
             self.queue_due_retries(now);
             self.reconnect_due(now)?;
+            self.check_closed_connections(now);
             self.send_queued(now);
             self.send_self_paced(now);
             self.write_pending();
@@ -131,7 +132,10 @@
         if now < self.ends {
             return false;
         }
-        let waits = self.in_flight > 0 || !self.queue.is_empty() || !self.retries.is_empty();
+        let waits = self.in_flight > 0
+            || !self.queue.is_empty()
+            || !self.retries.is_empty()
+            || !self.closed_connections.is_empty();
         !waits || now >= self.ends + self.plan.deadline + ANSWER_GRACE * 2.0
     }
 
--- a/crates/ladderpass-testbed/src/load/generator.rs
+++ b/crates/ladderpass-testbed/src/load/generator.rs
@@ -1,5 +1,6 @@
 //! State of a running load: its connections, the RPCs that wait to be sent, and the outcome so far.
 
+use super::closed_connections::ClosedConnection;
 use super::load_balancer::LoadBalancer;
 use super::outcome::{Counts, Outcome, RpcRecord, SLICE, Slice, histogram};
 use super::plan::{Phase, Plan};
@@ -112,6 +113,8 @@
     pub poll: Poll,
     /// Connections, by index. An entry is `None` while its connection is lost.
     pub clients: Vec<Option<ClientConnection>>,
+    /// Connections that routers have closed while RPCs were unanswered.
+    pub closed_connections: Vec<ClosedConnection>,
     /// Connections to reopen, by the time of reopening and a number that makes the key unique.
     pub reconnects: BTreeMap<(Time, u64), Reconnect>,
     pub rng: SmallRng,
@@ -163,6 +166,7 @@
             balancer,
             poll: Poll::new()?,
             clients: Vec::new(),
+            closed_connections: Vec::new(),
             reconnects: BTreeMap::new(),
             rng: SmallRng::seed_from_u64(plan.seed),
             method_shares: scenario.methods.iter().map(|method| method.share).collect(),
--- a/crates/ladderpass-testbed/src/load/mod.rs
+++ b/crates/ladderpass-testbed/src/load/mod.rs
@@ -6,6 +6,7 @@
 //! that routers report about themselves.
 
 mod answers;
+mod closed_connections;
 mod connections;
 mod event_loop;
 mod generator;
@@ -16,7 +17,7 @@
 mod sending;
 
 pub use load_balancer::{DownRouters, LoadBalancer};
-pub use outcome::{Counts, Outcome, RpcAnswer, RpcRecord, SLICE, Slice, histogram};
+pub use outcome::{ConnectionEnd, Counts, Outcome, RpcAnswer, RpcRecord, SLICE, Slice, histogram};
 pub use plan::{Arrivals, Phase, Plan};
 pub use prober::{ProbeDelay, Prober, until_ready};
 
--- a/crates/ladderpass-testbed/src/load/outcome.rs
+++ b/crates/ladderpass-testbed/src/load/outcome.rs
@@ -23,10 +23,30 @@
     pub answered: Option<RpcAnswer>,
     /// When the connection ended without an answer to the RPC, if it did.
     pub lost: Option<Time>,
+    /// How that connection ended, if it ended without an answer to the RPC.
+    pub connection_end: Option<ConnectionEnd>,
     /// Whether the connection was refused because nothing listened at the router's address.
     pub refused: bool,
 }
 
+/// How a router ended a connection with an unanswered RPC, as the kernels of both sides show it.
+///
+/// If bytes arrive at a connection that a process has closed, or has left unread in it at the close, the kernel of the
+/// process resets the connection. So a connection that ends without a reset ended after the process had read all bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// The router's end of the stream, and no reset: the router had read all that its client had sent.
+    Closed,
+    /// The router's end of the stream, and then a reset: the RPC, the client's last one, arrived after the router had
+    /// closed the connection.
+    ClosedBeforeArrival,
+    /// The router's end of the stream, and then a reset: a later RPC arrived after the router had closed the connection.
+    /// Whether the router had read this RPC is not known.
+    ClosedBeforeLaterArrival,
+    /// A reset without an end of the stream: bytes of the client were unread when the router closed the connection.
+    Reset,
+}
+
 /// The answer to an RPC, as its client received it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RpcAnswer {
--- a/crates/ladderpass-testbed/src/load/sending.rs
+++ b/crates/ladderpass-testbed/src/load/sending.rs
@@ -124,6 +124,7 @@
                 deadline,
                 answered: None,
                 lost: None,
+                connection_end: None,
                 refused: false,
             });
         }
--- a/crates/ladderpass/src/limits.rs
+++ b/crates/ladderpass/src/limits.rs
@@ -164,9 +164,6 @@
     pub start_retry_timeout: Duration,
     /// The retries of a configuration that could not be read at SIGHUP.
     pub reload_retry: ReloadRetry,
-    /// The idle time after which a client's connection is closed during a shutdown, if the router awaited the client's
-    /// next statement when the shutdown began.
-    pub shutdown_idle_time: Span,
     /// How long connections and RPCs are accepted after a shutdown has begun. SIGKILL may come 0.7 s after the longest
     /// deadline. The process ends once nothing is in flight.
     pub shutdown_accept_time: Span,
@@ -255,7 +252,6 @@
     start_retry_interval: Duration::from_millis(20),
     start_retry_timeout: Duration::from_secs(5),
     reload_retry: ReloadRetry { interval: Duration::from_millis(100), timeout: Duration::from_secs(4) },
-    shutdown_idle_time: Span::from_millis(200),
     shutdown_accept_time: Span::from_millis(600),
 };
 
--- a/crates/ladderpass/src/reducer/handlers/shutdown.rs
+++ b/crates/ladderpass/src/reducer/handlers/shutdown.rs
@@ -1,6 +1,7 @@
 //! Shuts down gracefully after SIGTERM. The router goes on serving for `Limits::shutdown_accept_time`, and closes each
-//! client's connection once the client is idle. After that time the router closes the listener and begins no RPC, and
-//! the process ends once all clients have their answers.
+//! client's connection behind the client's next answer. A connection is not closed while it is idle, because a statement
+//! could cross that close, and its client would have to send it again. After that time the router closes the listener
+//! and the idle connections, and begins no RPC. The process ends once all clients have their answers.
 
 use crate::faulty::Faulty;
 use crate::reducer::Reducer;
@@ -22,11 +23,6 @@
         if self.faulty.is(Faulty::DropsRequestsAtStop) {
             self.effects.push(Effect::Exit);
         }
-        // A client that was just answered is likely to send another statement, which could arrive just as the
-        // connection is closed. So a client is served until it has been idle for `Limits::shutdown_idle_time`.
-        for (since, id) in self.clients.awaiting(AwaitedInput::NextStatement) {
-            self.connections.set_deadline(id, Some(since + self.limits.shutdown_idle_time));
-        }
     }
 
     pub(in crate::reducer) fn tick_shutdown(&mut self, now: Time) {
--- a/crates/ladderpass/tests/disconnects/shutdown.rs
+++ b/crates/ladderpass/tests/disconnects/shutdown.rs
@@ -43,6 +43,23 @@
     harness.assert_clean_exit();
 }
 
+/// A router that gets SIGTERM does not close idle connections at once, since each close may cross a statement. A client
+/// that was idle for longer than most, and sends its next statement 0.3 s after SIGTERM, gets its answer.
+#[test]
+fn an_idle_connection_stays_open_after_sigterm_until_its_next_answer() {
+    let mut harness = start_harness(|config| config);
+    let mut client = harness.client();
+    sleep(Duration::from_millis(500));
+    harness.signal(Signal::SIGTERM);
+    sleep(Duration::from_millis(300));
+    client.write_all(&query(&write_statement("1"))).expect("the connection is open");
+    let (_, link) = harness.next_rpc(0);
+    harness.answer_rpc(0, link);
+    assert_eq!(read_answer(&mut client).0, b"TDCZ");
+    assert!(next_frame(&mut client).is_none(), "the connection is closed behind the answer");
+    harness.assert_clean_exit();
+}
+
 /// A client connects after SIGTERM is sent, while the router process is paused. The client is served, and then the
 /// process exits.
 #[test]
