Stats: connect_ms is the mean time of the connects that were established

Operators saw a connect time that fell when connects failed. Found by reading: the time of established connects was divided by all connects begun.

--- a/crates/ladderpass/src/reducer/handlers/member_answers.rs
+++ b/crates/ladderpass/src/reducer/handlers/member_answers.rs
@@ -87,7 +87,7 @@
     fn on_member_established(&mut self, now: Time, id: ConnectionId) {
         let Some(member) = self.connections.member(id) else { return };
         let connect_began_at = member.connect_deadline() - self.limits.connect_timeout;
-        self.stats.add_connect_time(now - connect_began_at);
+        self.stats.add_established_connect(now - connect_began_at);
         self.members.remove_connecting(member.member(), id);
         if member.job().is_some() {
             let deadline = member.job_deadline();
--- a/crates/ladderpass/src/reducer/handlers/stats_log.rs
+++ b/crates/ladderpass/src/reducer/handlers/stats_log.rs
@@ -15,6 +15,7 @@
         }
         let stats = self.stats.take(now);
         let (answers, answer_time) = stats.answered_attempts();
+        let (established_connects, connect_time) = stats.established_connects();
         tracing::info!(
             target: log_target::STATS,
             accepted = stats.get(Count::Accepted),
@@ -30,8 +31,7 @@
             attempts = ?stats.attempts(),
             health_checks = ?stats.health_checks(),
             connects = stats.connects(),
-            // The total time of the connects that succeeded, divided by the number of all connects that were begun.
-            connect_ms = %mean_ms(stats.connect_time(), stats.connects()),
+            connect_ms = %mean_ms(connect_time, established_connects),
             answer_ms = %mean_ms(answer_time, answers),
             clients = self.clients.len(),
             awaited = ?self.clients.awaited_counts(),
--- a/crates/ladderpass/src/reducer/state/stats.rs
+++ b/crates/ladderpass/src/reducer/state/stats.rs
@@ -41,6 +41,8 @@
     attempts: OutcomeCounts,
     health_checks: OutcomeCounts,
     connects: u32,
+    /// The number of connections to members that were established.
+    established_connects: u32,
     connect_time: Span,
     /// Total time that members took for the attempts that ended with `AttemptOutcome::Ok`.
     answer_time: Span,
@@ -82,6 +84,7 @@
             attempts: OutcomeCounts::default(),
             health_checks: OutcomeCounts::default(),
             connects: 0,
+            established_connects: 0,
             connect_time: Span::ZERO,
             answer_time: Span::ZERO,
             logged_at: now,
@@ -111,7 +114,9 @@
         self.connects += 1;
     }
 
-    pub(in crate::reducer) fn add_connect_time(&mut self, span: Span) {
+    /// Counts a connection to a member that was established, and adds the time that this took.
+    pub(in crate::reducer) fn add_established_connect(&mut self, span: Span) {
+        self.established_connects += 1;
         self.connect_time += span;
     }
 
@@ -138,9 +143,9 @@
         self.connects
     }
 
-    /// Returns the total time that connections to members took to be established.
-    pub(in crate::reducer) fn connect_time(&self) -> Span {
-        self.connect_time
+    /// Returns the number of connections to members that were established, and the total time that this took.
+    pub(in crate::reducer) fn established_connects(&self) -> (u32, Span) {
+        (self.established_connects, self.connect_time)
     }
 
     /// Returns the counts of RPCs that were given up, and of reads that were sent to a primary because no replica was
