--- a/crates/ladderpass/tests/drills.rs
+++ b/crates/ladderpass/tests/drills.rs
@@ -5,7 +5,7 @@
 mod one_at_a_time;
 
 use ladderpass_testbed::drill::Drill;
-use ladderpass_testbed::drill::play::{DrillRecord, Programs, play};
+use ladderpass_testbed::drill::play::{DrillRecord, Programs, RouterView, play};
 use ladderpass_testbed::drill::report::AttemptCounts;
 use one_at_a_time::wait_for_turn;
 use std::path::Path;
@@ -34,6 +34,23 @@
         .collect()
 }
 
+/// All views that each router logged, with their times since the start of the load, and the fault events. Times before
+/// the start of the load are negative: `DrillRecord::settled` is the time from the start of the routers until they agreed.
+fn view_histories(played: &DrillRecord) -> String {
+    let began = played.outcome.began;
+    let mut lines = vec![format!("settled: {:?}", played.settled)];
+    lines.extend(
+        played.event_log.iter().map(|event| format!("{:.3} s {}", (event.at - began).secs(), event.name)),
+    );
+    for (router, views) in played.views.iter().enumerate() {
+        lines.extend(views.iter().map(|view| {
+            let RouterView { at, digest, count, changes } = view;
+            format!("r{router} {:.3} s {digest:08x} of {count} {changes:?}", (*at - began).secs())
+        }));
+    }
+    lines.join("\n")
+}
+
 /// Checks that the last views of the fleet that all running routers logged are equal and contain `count` routers.
 fn assert_agreed(played: &DrillRecord, count: usize) {
     let last_views: Vec<_> = (0..played.views.len())
@@ -56,7 +73,11 @@
             // If a router that is back is suspected again and refutes the suspicion, the log says once more that the
             // router is back. So the log may contain "is back" several times.
             let views = logged_changes(&played, viewer, subject);
-            assert!(views.contains(&"died") && views.last() == Some(&"is back"), "{views:?}");
+            assert!(
+                views.contains(&"died") && views.last() == Some(&"is back"),
+                "{views:?} of r{subject} in the log of r{viewer}\n{}",
+                view_histories(&played)
+            );
         }
     }
     assert_agreed(&played, 5);
