--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -231,6 +231,7 @@
         self.refuses = lambda nth: False
         self.calls = 0
         self.told = []  # (time written, generation)
+        self.lines = asyncio.Event()  # an empty line was written
         self.server = None
 
     async def start(self, port=0):
@@ -285,7 +286,9 @@
                 try:
                     await asyncio.wait_for(reader.read(100), 2.0)
                 except asyncio.TimeoutError:
-                    self.write(writer, None)
+                    if writer in self.watches:
+                        self.write(writer, None)
+                        self.lines.set()
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
@@ -296,6 +299,14 @@
         for watch in list(self.watches):
             watch.transport.abort()
 
+    async def fall_silent(self):
+        """All open watches fall silent, right behind an empty line; they stay open. Returns when that was."""
+        self.lines.clear()
+        await asyncio.wait_for(self.lines.wait(), 5)
+        self.watches.clear()
+        self.record.add("all open watches fall silent")
+        return now()
+
 
 class Router:
     """The router's process, started by `run` of the deploy file."""
