Attempts of all methods that waited for a connection are checked before they are sent

The former primary had told the router its new role 155 to 217 ms before it got the read.

Cause: put_attempt_query asked Router::may_still_attempt again only for methods that need a position (bounded, session) and for retries with an idempotency key. A fresh read depends on a role, and was sent by the decision made before its connection came up, or before another connection became free for it. Evidence: record of the case with the router's log ("primary is unknown" before the sends). The new test, before: reads sent to the former primary, by the news that came before left: [WriteRefused, WriteRefused, AnsweredAsReplica, AnsweredAsReplica, HealthCheck x4, OtherPrimary x4, NewAddress, NewAddress], right: []

Change: whatever has waited for longer than a tick is checked, whatever its method; all queries are put by this one function, so connects, connections that became free, repeated connects and moves are covered. A decision that no longer holds ends as DecisionExpired, which costs neither member nor budget, and the RPC is decided anew. The limit is renamed: fresh_send_timeout to max_decision_age.

--- a/crates/ladderpass/src/limits.rs
+++ b/crates/ladderpass/src/limits.rs
@@ -92,12 +92,9 @@
     /// The idle time after which a pooled connection to a member is closed. This time is shorter than the member's own
     /// idle timeout: otherwise the member could close the connection just as a statement is sent on it.
     pub member_idle_timeout: Span,
-    /// How long a routing decision that depends on the time may wait before its attempt is sent. After this time the
-    /// decision is checked again. A decision depends on the time if the method has bounded staleness, if the read must
-    /// see a session's write, and if a further attempt is allowed only within the window of its idempotency key. This
-    /// is also the longest time that writing a statement to a member's socket may take if the member's data must have
-    /// reached a position.
-    pub fresh_send_timeout: Span,
+    /// How long an attempt may wait to be sent before its routing decision is checked again. This is also the longest
+    /// time that writing a statement to a member's socket may take if the member's data must have reached a position.
+    pub max_decision_age: Span,
     /// How long a statement may take to be written to a member's socket if the member's data need not have reached a
     /// position. This time is limited because the statement states the remaining time of the RPC.
     pub write_timeout: Span,
@@ -228,7 +225,7 @@
     connect_timeout: Span::from_millis(1000),
     health_check_timeout: Span::from_millis(1000),
     member_idle_timeout: Span::from_millis(10_000),
-    fresh_send_timeout: Span::ZERO,
+    max_decision_age: Span::ZERO,
     write_timeout: Span::from_millis(100),
     partial_answer_timeout: Span::from_millis(250),
     max_clock_lead: Span::from_millis(1000),
@@ -273,7 +270,7 @@
             connect_timeout: settings.connect_timeout.unwrap_or(DEFAULTS.connect_timeout),
             health_check_timeout: settings.connect_timeout.unwrap_or(DEFAULTS.health_check_timeout),
             member_idle_timeout: member_idle_timeout.unwrap_or(DEFAULTS.member_idle_timeout),
-            fresh_send_timeout: settings.deployment.tick,
+            max_decision_age: settings.deployment.tick,
             ..DEFAULTS
         }
     }
--- a/crates/ladderpass/src/reducer/handlers/member_jobs.rs
+++ b/crates/ladderpass/src/reducer/handlers/member_jobs.rs
@@ -51,8 +51,8 @@
         }
     }
 
-    /// Puts the statement of an RPC into `query`, with the client's wait replaced by the time that is left. If the
-    /// attempt can't be sent, returns an error with the attempt's outcome, or with `None` if the RPC or the connection
+    /// Puts the statement of an RPC into `query`, with the client's wait replaced by the time that is left. An attempt that
+    /// has waited for its connection is put only if the routing core would still allow it. If the attempt can't be sent, returns an error with the attempt's outcome, or with `None` if the RPC or the connection
     /// does not exist any more.
     fn put_attempt_query(
         &mut self,
@@ -66,13 +66,10 @@
         };
         let (member_id, deadline) = (MemberId(member.member() as u32), member.job_deadline());
         let description = entry.description();
-        // What was true at the routing decision may have changed. The member's data may be too old by now, and the
-        // window of the idempotency key, within which a further attempt has no second effect, may be over.
-        let is_retry_within_window =
-            entry.may_have_run() && self.methods.uses_idempotency_key(description.method);
-        let expires = description.requires_position || is_retry_within_window;
-        let is_late = expires && now - member.assigned_at() > self.limits.fresh_send_timeout;
-        if is_late && !self.router.may_still_attempt(now, rpc, member_id) {
+        // What was true when this member was selected may have changed while the attempt waited: the member's role, how
+        // new its data is, and whether a further attempt may still have no second effect.
+        let has_waited = now - member.assigned_at() > self.limits.max_decision_age;
+        if has_waited && !self.router.may_still_attempt(now, rpc, member_id) {
             return Err(Some(AttemptOutcome::DecisionExpired));
         }
         let client = entry.client().and_then(|client| self.connections.get_mut(client));
@@ -123,7 +120,7 @@
             _ => false,
         };
         let timeout =
-            if requires_position { self.limits.fresh_send_timeout } else { self.limits.write_timeout };
+            if requires_position { self.limits.max_decision_age } else { self.limits.write_timeout };
         if let Some(deadline) = member.write_deadline(timeout) {
             self.connections.set_deadline(id, Some(deadline));
         }
--- a/crates/ladderpass/src/reducer/state/methods.rs
+++ b/crates/ladderpass/src/reducer/state/methods.rs
@@ -1,7 +1,7 @@
 //! The properties of the deployment's methods that the reducer needs.
 
 use ladderpass_config::DeploymentSettings;
-use ladderpass_routing::{Consistency, Idempotency, Method};
+use ladderpass_routing::{Consistency, Method};
 use std::collections::HashMap;
 
 /// The deployment's methods, which can be looked up by name and by index.
@@ -20,9 +20,6 @@
     /// staleness is bounded or its reads see the writes of their session.
     requires_position: bool,
     is_write: bool,
-    /// Whether the method is idempotent by a key, so that a further attempt has no second effect only within the key's
-    /// time window.
-    uses_idempotency_key: bool,
 }
 
 impl MethodProperties {
@@ -33,7 +30,6 @@
                 Consistency::BoundedStaleness(_) | Consistency::Session
             ),
             is_write: method.consistency == Consistency::Write,
-            uses_idempotency_key: matches!(method.idempotency, Idempotency::IdempotencyKey { .. }),
         }
     }
 }
@@ -79,10 +75,6 @@
         self.get(index).map(|method| method.is_write)
     }
 
-    pub(in crate::reducer) fn uses_idempotency_key(&self, index: u32) -> bool {
-        self.get(index).is_some_and(|method| method.uses_idempotency_key)
-    }
-
     fn get(&self, index: u32) -> Option<&MethodProperties> {
         self.properties.get(index as usize)
     }
--- a/crates/ladderpass/tests/reducer/main.rs
+++ b/crates/ladderpass/tests/reducer/main.rs
@@ -15,3 +15,4 @@
 mod rpc_ids;
 mod scenarios;
 mod simulation;
+mod waiting_attempts;
