An attempt that moves to its member's new address keeps the time of its decision

What callers could see: a stale answer, where an attempt had waited for a connection, its member's address changed, and the connection to the new address came up within a tick.

Cause: change_member_address gave the job to a new connection with the present as its time of assignment, by which the age of its decision is told.

--- a/crates/ladderpass/src/reducer/handlers/attempts.rs
+++ b/crates/ladderpass/src/reducer/handlers/attempts.rs
@@ -38,7 +38,7 @@
         let deadline = timeout.map_or(latest, |timeout| latest.min(now + timeout));
         let is_possible = deadline > now && !may_have_left(&self.connections, client);
         let connection = match is_possible {
-            true => self.assign_job(now, member.0 as usize, Job::Attempt(rpc), deadline),
+            true => self.assign_job(now, member.0 as usize, Job::Attempt(rpc), now, deadline),
             false => None,
         };
         match connection {
--- a/crates/ladderpass/src/reducer/handlers/member_jobs.rs
+++ b/crates/ladderpass/src/reducer/handlers/member_jobs.rs
@@ -176,7 +176,7 @@
 
     pub(in crate::reducer) fn start_health_check(&mut self, now: Time, member: MemberId) {
         let deadline = now + self.limits.health_check_timeout;
-        match self.assign_job(now, member.0 as usize, Job::HealthCheck, deadline) {
+        match self.assign_job(now, member.0 as usize, Job::HealthCheck, now, deadline) {
             Some(id) if self.is_established(id) => self.send_query(now, id),
             Some(_) => {}
             None => self.router.on_health_check_ended(
--- a/crates/ladderpass/src/reducer/handlers/member_pools.rs
+++ b/crates/ladderpass/src/reducer/handlers/member_pools.rs
@@ -14,18 +14,20 @@
 use std::net::SocketAddr;
 
 impl Reducer {
-    /// Gives a job to an idle connection of a member, or to a new connection if none is idle. Returns the connection,
-    /// or `None` if no connection can be opened.
+    /// Gives a job to an idle connection of a member, or to a new connection if none is idle. `assigned_at` is when the
+    /// job was first assigned to a connection of the member, which is earlier than `now` for a job that moves. Returns
+    /// the connection, or `None` if no connection can be opened.
     pub(super) fn assign_job(
         &mut self,
         now: Time,
         index: usize,
         job: Job,
+        assigned_at: Time,
         deadline: Time,
     ) -> Option<ConnectionId> {
         let address = self.members.address(index)?;
         if let Some(id) = self.members.pop_idle(index) {
-            self.set_job(now, id, job, deadline);
+            self.set_job(assigned_at, id, job, deadline);
             return Some(id);
         }
         if !self.free_capacity_for_member_connection(now) {
@@ -38,7 +40,7 @@
         let member = MemberConnection::new(now, index, deadline, connect_deadline);
         self.add_connection(id, Some(connect_deadline), Remote::Member(member));
         self.effects.push(Effect::Connect(id, address));
-        self.set_job(now, id, job, deadline);
+        self.set_job(assigned_at, id, job, deadline);
         if let Job::Attempt(_) = job {
             self.members.push_connecting(index, id);
         }
@@ -140,7 +142,7 @@
                 (member.take_job(), member.job_deadline(), member.assigned_at());
             self.close_connection(id);
             let Some(job) = job else { continue };
-            if self.assign_job(now, index, job, deadline).is_none() {
+            if self.assign_job(now, index, job, assigned_at, deadline).is_none() {
                 let member = MemberId(index as u32);
                 let result = unanswered_result(member, AttemptOutcome::NeverSent, now - assigned_at);
                 self.on_job_ended(now, job, result, LoadReport::default());
--- a/crates/ladderpass/tests/reducer/waiting_attempts.rs
+++ b/crates/ladderpass/tests/reducer/waiting_attempts.rs
@@ -94,19 +94,30 @@
     panic!("no health check of the member at port {held}");
 }
 
+/// Answers the query on this connection, but not the empty query behind it, so that the connection is not free yet.
+fn answer_query(simulation: &mut Simulation, connection: ConnectionId, answer: &[u8]) {
+    simulation.member_connections.get_mut(&connection).expect("the connection is open").query = None;
+    simulation.receive(connection, answer);
+}
+
 /// Answers the query on this connection, and the empty query behind it. The connection is then free.
 fn answer(simulation: &mut Simulation, connection: ConnectionId, answer: &[u8]) {
+    answer_query(simulation, connection, answer);
+    answer_sync_query(simulation, connection);
+}
+
+fn answer_sync_query(simulation: &mut Simulation, connection: ConnectionId) {
     let member = simulation.member_connections.get_mut(&connection).expect("the connection is open");
-    (member.query, member.sync_query_queued) = (None, false);
-    simulation.receive(connection, answer);
+    member.sync_query_queued = false;
     simulation.receive(connection, &empty_query_response());
     simulation.write(connection);
 }
 
 /// Answers the write that is in flight on this connection that the member is not the primary. The write has not run.
+/// The connection is not free yet.
 fn refuse_write(simulation: &mut Simulation, connection: ConnectionId) {
     simulation.statements.values_mut().for_each(|statement| statement.may_have_run = false);
-    answer(simulation, connection, &not_primary());
+    answer_query(simulation, connection, &not_primary());
 }
 
 /// A router of which some fresh reads are about to be sent to the primary, which soon is the primary no longer.
@@ -142,21 +153,30 @@
 fn deliver(simulation: &mut Simulation, news: News, port: u16, connection: ConnectionId) {
     let position = simulation.now.nanos() as u64 / 1_000_000;
     match news {
-        News::WriteRefused | News::NewAddress => refuse_write(simulation, connection),
+        News::WriteRefused => {
+            refuse_write(simulation, connection);
+            answer_sync_query(simulation, connection);
+        }
+        News::NewAddress => {
+            refuse_write(simulation, connection);
+            move_member(simulation, port);
+        }
         News::AnsweredAsReplica => answer(simulation, connection, &row(b"7", "follower", position)),
         News::HealthCheck | News::OtherPrimary => {
             let report = load_report(simulation, news == News::OtherPrimary);
             answer(simulation, connection, &report);
         }
     }
-    if let News::NewAddress = news {
-        let (watch, _) = simulation.watches[0];
-        simulation.open_watch(watch);
-        let n = usize::from(port - 7000);
-        let entry = instance(n, &format!("127.0.0.1:{}", port + 10), "SERVING").replace("leader", "follower");
-        let line = format!("{{\"generation\":2,\"reset\":false,\"instances\":[{entry}]}}\n");
-        simulation.receive(watch, &chunk(line.as_bytes()));
-    }
+}
+
+/// Has discovery give the member at this port an address with a port that is ten higher.
+fn move_member(simulation: &mut Simulation, port: u16) {
+    let (watch, _) = simulation.watches[0];
+    simulation.open_watch(watch);
+    let n = usize::from(port - 7000);
+    let entry = instance(n, &format!("127.0.0.1:{}", port + 10), "SERVING").replace("leader", "follower");
+    let line = format!("{{\"generation\":2,\"reset\":false,\"instances\":[{entry}]}}\n");
+    simulation.receive(watch, &chunk(line.as_bytes()));
 }
 
 /// Guards against stale reads at a former primary: a read that only the primary may serve waits for its connection, or
@@ -192,3 +212,21 @@
     }
     assert_eq!(stale_reads, [], "reads sent to the former primary, by the news that came before");
 }
+
+/// Guards against stale reads at a former primary whose address changes: a waiting read moves to the new address, and its
+/// connection there is established at once.
+#[test]
+fn a_fresh_read_that_moved_to_a_new_address_is_not_sent_by_its_old_decision() {
+    let Demotion { mut simulation, port, connection } = before_demotion(News::NewAddress);
+    for nth in 0..4 {
+        send_read(&mut simulation, &format!("1{nth}"));
+    }
+    simulation.advance(WAIT);
+    deliver(&mut simulation, News::NewAddress, port, connection);
+    let moved = late_connections(&simulation, port + 10);
+    assert!(!moved.is_empty(), "no read waits for the new address");
+    for id in moved {
+        simulation.establish(id);
+    }
+    assert_eq!(reads_at(&simulation, port + 10), [], "reads sent to the former primary at its new address");
+}
