A rejection in a crowd is not fatal: pipelined statements behind it get their answers

Cause: above Limits::clients a newcomer's first statement was rejected fatally, and close_when_written dropped what stood behind it in the client's input, or came in the same moment.

Change: the rejection is an ERROR, each further statement of a client that is not admitted is judged anew (served once there is room), and the connection is closed after 50 ms without a statement (rejected_client_idle_timeout) by the idle close with its last read. So statements that follow in pieces are answered too.

--- a/crates/ladderpass/src/limits.rs
+++ b/crates/ladderpass/src/limits.rs
@@ -40,8 +40,8 @@
     /// The maximum number of connections of clients and members together. Connections to members may use the part that
     /// clients do not use.
     pub connections: usize,
-    /// The maximum number of clients that are served. If there are more clients, up to `clients_accepted`, a new client
-    /// is rejected at its first statement.
+    /// The maximum number of clients that are served. If there are more clients, up to `clients_accepted`, the statements
+    /// of a new client are rejected until there are fewer.
     pub clients: usize,
     /// The maximum number of connected clients. At this number no further client is accepted.
     pub clients_accepted: usize,
@@ -64,6 +64,10 @@
     pub denied_connect_backoff: Span,
     /// The idle time after which a client's connection is closed, however few clients there are.
     pub client_idle_timeout: Span,
+    /// The idle time after which a client's connection is closed if the client's last statement was rejected because
+    /// there are too many clients. Statements that the client sent without waiting for the answer arrive within this
+    /// time.
+    pub rejected_client_idle_timeout: Span,
     /// The number of errors in a row that a client may make in its statements. The next error closes the client's
     /// connection.
     pub client_errors: u32,
@@ -215,6 +219,7 @@
     evictions_per_denial: 8,
     denied_connect_backoff: Span::from_millis(100),
     client_idle_timeout: Span::from_millis(2100),
+    rejected_client_idle_timeout: Span::from_millis(50),
     client_errors: 3,
     client_error_backoff: Span::from_millis(100),
     backlog: 1024,
--- a/crates/ladderpass/src/reducer/handlers/accept_rpc.rs
+++ b/crates/ladderpass/src/reducer/handlers/accept_rpc.rs
@@ -7,6 +7,7 @@
 use crate::reducer::Reducer;
 use crate::reducer::connection_id::ConnectionId;
 use crate::reducer::log_target;
+use crate::reducer::state::client::Admission;
 use crate::reducer::state::connections::{Connection, Remote};
 use crate::reducer::state::overload_monitor::StatementCost;
 use crate::reducer::state::rpc_table::{RpcDescription, RpcInFlight};
@@ -43,17 +44,15 @@
     pub(super) fn accept_rpc(&mut self, now: Time, id: ConnectionId, length: usize) {
         self.set_awaited(id, None);
         let Some(client) = self.connections.client_mut(id) else { return };
-        let is_first = client.record_statement();
-        let is_crowded = is_first && self.evict_and_check_client_limit(now);
+        client.record_statement();
+        let is_admitted = client.admission() == Admission::Admitted;
+        let is_crowded = !is_admitted && self.evict_and_check_client_limit(now);
         let statement = match self.parse_statement(now, id, length) {
             Ok(statement) => statement,
             Err(error) => return self.answer_client_error(now, id, length, &error),
         };
         if is_crowded {
-            self.stats.count(Count::Crowded);
-            // Too many clients are connected. The connection of this client was accepted nevertheless, so that the
-            // client gets an error here, rather than no answer at the listener.
-            return self.reject_statement(now, id, length, Rejection::Crowded);
+            return self.reject_unadmitted(now, id, length);
         }
         if self.rpcs.len() >= self.limits.rpcs_in_flight {
             self.stats.count(Count::Full);
@@ -63,6 +62,7 @@
         self.overload.record_accepted();
         if let Some(client) = self.connections.client_mut(id) {
             client.clear_errors();
+            client.set_admission(Admission::Admitted);
         }
         let (rpc, decision) = self.router.accept(now, statement.arrival);
         if let Decision::Reject { retry_after } = decision
@@ -75,6 +75,18 @@
         self.apply_decision(now, rpc, decision);
     }
 
+    /// Rejects a statement because too many clients are connected. The connection of its client was accepted
+    /// nevertheless, so that the client gets an error here, rather than no answer at the listener. The connection stays
+    /// open for `Limits::rejected_client_idle_timeout`, as further statements may be on their way, and each of them is
+    /// owed an answer.
+    fn reject_unadmitted(&mut self, now: Time, id: ConnectionId, length: usize) {
+        self.stats.count(Count::Crowded);
+        if let Some(client) = self.connections.client_mut(id) {
+            client.set_admission(Admission::Rejected);
+        }
+        self.reject_statement(now, id, length, Rejection::Crowded);
+    }
+
     fn begin_rpc(&mut self, now: Time, id: ConnectionId, rpc: RpcId, statement: Statement) {
         let Statement { arrival, wait_at, id_hash, priority, .. } = statement;
         let Arrival { method, group, deadline, .. } = arrival;
--- a/crates/ladderpass/src/reducer/handlers/client_input.rs
+++ b/crates/ladderpass/src/reducer/handlers/client_input.rs
@@ -9,7 +9,7 @@
 use crate::reducer::connection_id::ConnectionId;
 use crate::reducer::event::Effect;
 use crate::reducer::state::cancel_keys::CancelKey;
-use crate::reducer::state::client::{AwaitedInput, Client, ClientPhase};
+use crate::reducer::state::client::{Admission, AwaitedInput, Client, ClientPhase};
 use crate::reducer::state::connections::Remote;
 use crate::reducer::state::stats::Count;
 use ladderpass_routing::Time;
@@ -251,9 +251,13 @@
     /// a shutdown the connection of a client that has sent a statement before is closed at once, after a final read.
     fn await_next_statement(&mut self, now: Time, id: ConnectionId) {
         let is_stopping = self.shutdown.has_begun();
-        let timeout = match is_stopping {
-            true => self.limits.shutdown_accept_time,
-            false => self.limits.client_idle_timeout,
+        let admission = self.connections.client(id).map(Client::admission);
+        let timeout = if admission == Some(Admission::Rejected) {
+            self.limits.rejected_client_idle_timeout
+        } else if is_stopping {
+            self.limits.shutdown_accept_time
+        } else {
+            self.limits.client_idle_timeout
         };
         if self.connections.buffer_bytes()
             > self.limits.pause_clients_at_buffer_bytes / IDLE_BUFFER_RELEASE_DIVISOR
--- a/crates/ladderpass/src/reducer/handlers/rejections.rs
+++ b/crates/ladderpass/src/reducer/handlers/rejections.rs
@@ -51,15 +51,15 @@
 
 impl Rejection {
     fn answer(self, retry_after_ms: Option<i64>) -> ErrorAnswer<'static> {
-        let (is_fatal, code, text) = match self {
-            Rejection::Stopping => (false, "57P03", "the router stops"),
-            Rejection::SentAhead => (false, "53300", "too much is sent ahead"),
+        let (code, text) = match self {
+            Rejection::Stopping => ("57P03", "the router stops"),
+            Rejection::SentAhead => ("53300", "too much is sent ahead"),
             // The word "held" in this text means in flight. Clients may depend on the text.
-            Rejection::Full => (false, "53300", "too many RPCs are held"),
-            Rejection::Memory => (false, "53300", "memory is short"),
-            Rejection::Crowded => (true, "53300", "too many connections"),
+            Rejection::Full => ("53300", "too many RPCs are held"),
+            Rejection::Memory => ("53300", "memory is short"),
+            Rejection::Crowded => ("53300", "too many connections"),
         };
-        ErrorAnswer { is_fatal, code, text, retry_after_ms }
+        ErrorAnswer { is_fatal: false, code, text, retry_after_ms }
     }
 }
 
--- a/crates/ladderpass/src/reducer/state/client.rs
+++ b/crates/ladderpass/src/reducer/state/client.rs
@@ -30,6 +30,16 @@
     NextStatement,
 }
 
+/// Whether a client is one of those that the router serves, of which there are at most `Limits::clients`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::reducer) enum Admission {
+    /// The client has sent no statement that could be served.
+    Undecided,
+    /// The client's last statement was rejected because too many clients are connected.
+    Rejected,
+    Admitted,
+}
+
 /// An input that is awaited from a client, and the time since which the input is awaited.
 pub(in crate::reducer) type Awaited = (AwaitedInput, Time);
 
@@ -47,6 +57,7 @@
     /// set.
     awaited: Option<Awaited>,
     has_sent_statement: bool,
+    admission: Admission,
     /// Whether the client has sent more than its input buffer holds since its socket was last found empty.
     has_overrun: bool,
     /// Set after the client had sent more than its input buffer holds: if the client's socket stays empty until this
@@ -72,6 +83,7 @@
             ignores_until_sync: false,
             awaited: None,
             has_sent_statement: false,
+            admission: Admission::Undecided,
             has_overrun: false,
             refill_until: None,
             is_just_answered: false,
@@ -108,9 +120,17 @@
         self.is_just_answered = false;
     }
 
-    /// Records that the client has sent a statement. Returns whether this is the client's first statement.
-    pub(in crate::reducer) fn record_statement(&mut self) -> bool {
-        !std::mem::replace(&mut self.has_sent_statement, true)
+    /// Records that the client has sent a statement.
+    pub(in crate::reducer) fn record_statement(&mut self) {
+        self.has_sent_statement = true;
+    }
+
+    pub(in crate::reducer) fn admission(&self) -> Admission {
+        self.admission
+    }
+
+    pub(in crate::reducer) fn set_admission(&mut self, admission: Admission) {
+        self.admission = admission;
     }
 
     pub(in crate::reducer) fn has_sent_statement(&self) -> bool {
--- a/crates/ladderpass/tests/reducer/main.rs
+++ b/crates/ladderpass/tests/reducer/main.rs
@@ -11,6 +11,7 @@
 mod common;
 mod limits;
 mod parsers;
+mod pipelined_rejections;
 mod random_runs;
 mod rpc_ids;
 mod scenarios;
--- /dev/null
+++ b/crates/ladderpass/tests/reducer/pipelined_rejections.rs
@@ -0,0 +1,85 @@
+//! Statements that a client has sent behind one that is rejected.
+
+use crate::common::{query, startup, statement};
+use crate::scenarios::{answers_of, error_answer};
+use crate::simulation::{Client, Simulation, default_launch};
+use ladderpass::reducer::{ConnectionId, Event};
+use ladderpass_routing::Span;
+
+/// The number of statements that a client sends without waiting for answers.
+const PIPELINED: usize = 3;
+
+/// A router that serves up to two clients, both of which have a statement in flight.
+fn crowded_router() -> Simulation {
+    let mut launch = default_launch();
+    launch.limits.clients = 2;
+    let mut simulation = Simulation::with_launch(vec![255; 4000], launch);
+    for nth in 0..2 {
+        let id = accept_client(&mut simulation, 1);
+        let text = statement(&format!("1{nth}"), "read", 480, "1");
+        simulation.expect_statement(&text, false);
+        simulation.receive(id, &[startup(), query(&text)].concat());
+    }
+    simulation
+}
+
+/// Accepts a client that will send this number of statements.
+fn accept_client(simulation: &mut Simulation, statements: usize) -> ConnectionId {
+    let id = simulation.reducer.next_id();
+    let deadlines = vec![simulation.now + Span::from_millis(480); statements];
+    simulation.clients.insert(id, Client { deadlines, ..Client::default() });
+    simulation.apply(Event::Accepted(id));
+    id
+}
+
+fn pipelined_statements() -> Vec<Vec<u8>> {
+    (0..PIPELINED).map(|nth| query(&statement(&format!("2{nth}"), "read", 480, "1"))).collect()
+}
+
+/// Guards against lost RPCs in a crowd: statements behind a client's first, which is rejected as there are too many
+/// clients, were read or came a little later, and got no answer as the connection was closed.
+#[test]
+fn all_pipelined_statements_of_a_client_above_the_limit_are_answered() {
+    for gap_ms in [0, 1, 40] {
+        let mut simulation = crowded_router();
+        let id = accept_client(&mut simulation, PIPELINED);
+        simulation.feed(id, &startup());
+        simulation.write(id);
+        for statement in pipelined_statements() {
+            simulation.feed(id, &statement);
+            if gap_ms > 0 {
+                simulation.advance(Span::from_millis(gap_ms));
+            }
+        }
+        simulation.advance(Span::ZERO);
+        simulation.advance(Span::ZERO);
+        let expected = vec![error_answer("53300"); PIPELINED];
+        assert_eq!(answers_of(&simulation, id), expected, "{gap_ms} ms between two statements");
+        simulation.advance(Span::from_millis(55));
+        assert!(!simulation.clients.contains_key(&id), "the place of a rejected client is free soon");
+        assert_eq!(simulation.clients.len(), 2, "the other clients still wait for their answers");
+    }
+}
+
+/// A client that was rejected in a crowd is served on the same connection once there are fewer clients.
+#[test]
+fn a_client_rejected_in_a_crowd_is_served_once_there_is_room() {
+    let mut simulation = crowded_router();
+    let id = accept_client(&mut simulation, 2);
+    simulation.receive(id, &[startup(), pipelined_statements().remove(0)].concat());
+    simulation.write(id);
+    assert_eq!(answers_of(&simulation, id), [error_answer("53300")]);
+    let other = *simulation.clients.keys().next().expect("a client is connected");
+    simulation.clients.remove(&other);
+    simulation.apply(Event::Closed(other));
+    let text = statement("30", "read", 480, "1");
+    simulation.expect_statement(&text, false);
+    simulation.receive(id, &query(&text));
+    simulation.advance(Span::from_millis(10));
+    assert_eq!(answers_of(&simulation, id).len(), 1, "the second statement is in flight");
+    let deadline = simulation.now + Span::from_millis(470);
+    while simulation.now < deadline {
+        simulation.advance(Span::from_millis(5));
+    }
+    assert_eq!(answers_of(&simulation, id).len(), 2, "the second statement has its own answer");
+}
