Statements behind a client's last error are rejected before the connection is closed

What callers could see: four errors in a row, or a message of an unknown type, and nothing for a valid statement sent behind them.

Cause: the last error was fatal and close_when_written dropped what was read behind it; what arrived in the pause before was not even read, and the close reset the connection.

A header that can't be parsed stays fatal, since nothing behind it can be told apart.

--- a/crates/ladderpass/src/limits.rs
+++ b/crates/ladderpass/src/limits.rs
@@ -64,12 +64,12 @@
     pub denied_connect_backoff: Span,
     /// The idle time after which a client's connection is closed, however few clients there are.
     pub client_idle_timeout: Span,
-    /// The idle time after which a client's connection is closed if the client's last statement was rejected because
-    /// there are too many clients. Statements that the client sent without waiting for the answer arrive within this
-    /// time.
+    /// The idle time after which a client's connection is closed if the client was rejected because there are too many
+    /// clients, or has made its last error. Statements that the client sent without waiting for the answer arrive within
+    /// this time.
     pub rejected_client_idle_timeout: Span,
-    /// The number of errors in a row that a client may make in its statements. The next error closes the client's
-    /// connection.
+    /// The number of errors in a row that a client may make in its statements. The connection is closed behind the next
+    /// error.
     pub client_errors: u32,
     /// The pause before the router continues to read from a client after the client's first error. The pause doubles
     /// with each further error in a row.
--- a/crates/ladderpass/src/reducer/handlers/accept_rpc.rs
+++ b/crates/ladderpass/src/reducer/handlers/accept_rpc.rs
@@ -52,11 +52,11 @@
             Err(error) => return self.answer_client_error(now, id, length, &error),
         };
         if is_crowded {
-            return self.reject_unadmitted(now, id, length);
+            return self.reject_unadmitted(id, length);
         }
         if self.rpcs.len() >= self.limits.rpcs_in_flight {
             self.stats.count(Count::Full);
-            return self.reject_statement(now, id, length, Rejection::Full);
+            return self.reject_statement(id, length, Rejection::Full);
         }
         self.stats.count(Count::Accepted);
         self.overload.record_accepted();
@@ -79,12 +79,12 @@
     /// nevertheless, so that the client gets an error here, rather than no answer at the listener. The connection stays
     /// open for `Limits::rejected_client_idle_timeout`, as further statements may be on their way, and each of them is
     /// owed an answer.
-    fn reject_unadmitted(&mut self, now: Time, id: ConnectionId, length: usize) {
+    fn reject_unadmitted(&mut self, id: ConnectionId, length: usize) {
         self.stats.count(Count::Crowded);
         if let Some(client) = self.connections.client_mut(id) {
             client.set_admission(Admission::Rejected);
         }
-        self.reject_statement(now, id, length, Rejection::Crowded);
+        self.reject_statement(id, length, Rejection::Crowded);
     }
 
     fn begin_rpc(&mut self, now: Time, id: ConnectionId, rpc: RpcId, statement: Statement) {
--- a/crates/ladderpass/src/reducer/handlers/client_input.rs
+++ b/crates/ladderpass/src/reducer/handlers/client_input.rs
@@ -9,7 +9,7 @@
 use crate::reducer::connection_id::ConnectionId;
 use crate::reducer::event::Effect;
 use crate::reducer::state::cancel_keys::CancelKey;
-use crate::reducer::state::client::{Admission, AwaitedInput, Client, ClientPhase};
+use crate::reducer::state::client::{AwaitedInput, Client, ClientPhase};
 use crate::reducer::state::connections::Remote;
 use crate::reducer::state::stats::Count;
 use ladderpass_routing::Time;
@@ -40,6 +40,11 @@
         length: usize,
         error: StatementError,
     },
+    /// An invalid message behind which the connection is closed.
+    LastInvalid {
+        length: usize,
+        error: StatementError,
+    },
     Cancel(CancelKey),
     Statement {
         length: usize,
@@ -84,11 +89,15 @@
         if is_closing || !client.is_ready() {
             return Progress::Stop;
         }
+        if client.closes_by().is_some_and(|closes_by| closes_by <= now) {
+            self.close_when_written(now, id);
+            return Progress::Stop;
+        }
         // A statement that is skipped for lack of memory is answered once its last byte has arrived.
         match client.skipping() {
             Some(0) => {
                 client.stop_skipping();
-                self.reject_statement(now, id, 0, Rejection::Memory);
+                self.reject_statement(id, 0, Rejection::Memory);
                 return Progress::Continue;
             }
             Some(_) => return Progress::Stop,
@@ -131,6 +140,10 @@
                 self.answer_client_error(now, id, length, &error);
                 Progress::Continue
             }
+            ClientMessage::LastInvalid { length, error } => {
+                self.answer_last_error(now, id, length, &error);
+                Progress::Continue
+            }
             // By the protocol a cancel request gets no reply, whether the request has an effect or not.
             ClientMessage::Cancel(key) => {
                 self.close_when_written(now, id);
@@ -151,7 +164,12 @@
         let Remote::Client(client) = &mut connection.remote else { return Progress::Stop };
         // No RPC begins so late in a shutdown that SIGKILL could come before the RPC's answer.
         if is_past_accept_time {
-            self.reject_statement(now, id, length, Rejection::Stopping);
+            self.reject_statement(id, length, Rejection::Stopping);
+            return Progress::Continue;
+        }
+        if client.closes_by().is_some() {
+            self.stats.count(Count::Full);
+            self.reject_statement(id, length, Rejection::Closing);
             return Progress::Continue;
         }
         // The client has sent more than its input buffer has space for, so a close of its connection can't be seen yet.
@@ -159,7 +177,7 @@
         // `Count::Full`.
         if is_read_paused {
             self.stats.count(Count::Full);
-            self.reject_statement(now, id, length, Rejection::SentAhead);
+            self.reject_statement(id, length, Rejection::SentAhead);
             return Progress::Continue;
         }
         let refill_until = client.refill_pending(now);
@@ -251,8 +269,7 @@
     /// a shutdown the connection of a client that has sent a statement before is closed at once, after a final read.
     fn await_next_statement(&mut self, now: Time, id: ConnectionId) {
         let is_stopping = self.shutdown.has_begun();
-        let admission = self.connections.client(id).map(Client::admission);
-        let timeout = if admission == Some(Admission::Rejected) {
+        let timeout = if self.connections.client(id).is_some_and(Client::closes_when_idle) {
             self.limits.rejected_client_idle_timeout
         } else if is_stopping {
             self.limits.shutdown_accept_time
@@ -362,7 +379,10 @@
         }
         (b'F', _) => return ClientMessage::invalid(length, "0A000", "only simple queries are served"),
         (b'd' | b'c' | b'f', _) => {}
-        _ => return ClientMessage::fatal(length, "08P01", "unknown message"),
+        _ => {
+            let error = StatementError::new("08P01", "unknown message");
+            return ClientMessage::LastInvalid { length, error };
+        }
     }
     ClientMessage::Answered { length, answer, close: false }
 }
--- a/crates/ladderpass/src/reducer/handlers/rejections.rs
+++ b/crates/ladderpass/src/reducer/handlers/rejections.rs
@@ -6,7 +6,9 @@
 use crate::pg;
 use crate::reducer::Reducer;
 use crate::reducer::connection_id::ConnectionId;
+use crate::reducer::event::Effect;
 use crate::reducer::state::client::AwaitedInput;
+use crate::reducer::state::connections::Remote;
 use crate::reducer::state::stats::Count;
 use ladderpass_routing::{Span, Time};
 
@@ -27,6 +29,8 @@
     Memory,
     /// Too many clients are connected.
     Crowded,
+    /// The client's connection is closing.
+    Closing,
 }
 
 /// An error that a client has made in a statement, with the SQLSTATE code and the text of the answer.
@@ -41,9 +45,8 @@
     }
 }
 
-/// The content of an ErrorResponse to a statement. After a fatal error the client's connection is closed.
+/// The content of an ErrorResponse to a statement.
 struct ErrorAnswer<'a> {
-    is_fatal: bool,
     code: &'a str,
     text: &'a str,
     retry_after_ms: Option<i64>,
@@ -58,8 +61,9 @@
             Rejection::Full => ("53300", "too many RPCs are held"),
             Rejection::Memory => ("53300", "memory is short"),
             Rejection::Crowded => ("53300", "too many connections"),
+            Rejection::Closing => ("53300", "the connection is being closed"),
         };
-        ErrorAnswer { is_fatal: false, code, text, retry_after_ms }
+        ErrorAnswer { code, text, retry_after_ms }
     }
 }
 
@@ -75,34 +79,33 @@
     }
 
     /// Rejects a statement, and tells the client after how long it may retry.
-    pub(super) fn reject_statement(
-        &mut self,
-        now: Time,
-        id: ConnectionId,
-        length: usize,
-        rejection: Rejection,
-    ) {
+    pub(super) fn reject_statement(&mut self, id: ConnectionId, length: usize, rejection: Rejection) {
         let retry_after_ms = retry_after_ms(self.router.retry_after());
-        self.answer_error(now, id, length, rejection.answer(retry_after_ms));
+        self.answer_error(id, length, rejection.answer(retry_after_ms));
     }
 
-    fn answer_error(&mut self, now: Time, id: ConnectionId, length: usize, answer: ErrorAnswer<'_>) {
-        let ErrorAnswer { is_fatal, code, text, retry_after_ms } = answer;
+    fn answer_error(&mut self, id: ConnectionId, length: usize, answer: ErrorAnswer<'_>) {
+        let ErrorAnswer { code, text, retry_after_ms } = answer;
         let mut out = Vec::new();
-        if is_fatal {
-            pg::put_error(&mut out, "FATAL", code, text, retry_after_ms);
-        } else {
-            pg::put_recoverable_error(&mut out, code, text, retry_after_ms);
-        }
+        pg::put_recoverable_error(&mut out, code, text, retry_after_ms);
         self.consume_input(id, length);
         self.write(id, &out);
-        if is_fatal {
-            self.close_when_written(now, id);
-        }
+    }
+
+    /// Begins to close a client's connection. Statements that the client has sent, whether they are read already or not,
+    /// are rejected first. The connection is closed once the client was idle for
+    /// `Limits::rejected_client_idle_timeout`, or after `Limits::message_timeout` if the client sends without a pause.
+    fn begin_closing(&mut self, now: Time, id: ConnectionId) {
+        let closes_by = now + self.limits.message_timeout;
+        let Some(connection) = self.connections.get_mut(id) else { return };
+        let Remote::Client(client) = &mut connection.remote else { return };
+        client.begin_closing(closes_by);
+        connection.resume_reading();
+        self.effects.push(Effect::Read(id));
     }
 
     /// Answers a statement in which the client has made an error. What the client sends next is read after a pause.
-    /// After `Limits::client_errors` such errors in a row, the next error closes the client's connection. So a client
+    /// After `Limits::client_errors` such errors in a row, the connection is closed behind the next error. So a client
     /// that sends errors as fast as they are answered does not take the router's time from other clients.
     pub(super) fn answer_client_error(
         &mut self,
@@ -113,15 +116,32 @@
     ) {
         let Some(client) = self.connections.client_mut(id) else { return };
         let errors = client.record_error(self.limits.client_errors);
-        let is_fatal = !client.is_backing_off();
+        let is_last = !client.is_backing_off();
+        if is_last {
+            return self.answer_last_error(now, id, length, error);
+        }
         let doublings = (errors - 1).min(MAX_BACKOFF_DOUBLINGS);
         let pause = self.limits.client_error_backoff * f64::from(1u32 << doublings);
+        self.answer_counted_error(id, length, error);
+        self.set_awaited(id, Some((AwaitedInput::StatementRest, now)));
+        self.connections.set_deadline(id, Some(now + pause));
+    }
+
+    /// Answers a statement in which the client has made an error, and begins to close the client's connection.
+    pub(super) fn answer_last_error(
+        &mut self,
+        now: Time,
+        id: ConnectionId,
+        length: usize,
+        error: &StatementError,
+    ) {
+        self.answer_counted_error(id, length, error);
+        self.begin_closing(now, id);
+    }
+
+    fn answer_counted_error(&mut self, id: ConnectionId, length: usize, error: &StatementError) {
         self.stats.count(Count::ClientError);
         let (code, text) = (error.code, error.text.as_str());
-        self.answer_error(now, id, length, ErrorAnswer { is_fatal, code, text, retry_after_ms: None });
-        if !is_fatal {
-            self.set_awaited(id, Some((AwaitedInput::StatementRest, now)));
-            self.connections.set_deadline(id, Some(now + pause));
-        }
+        self.answer_error(id, length, ErrorAnswer { code, text, retry_after_ms: None });
     }
 }
--- a/crates/ladderpass/src/reducer/state/client.rs
+++ b/crates/ladderpass/src/reducer/state/client.rs
@@ -5,6 +5,8 @@
 //!   was full. The socket counts as read to its end only after it was empty for `Limits::refill_quiet_time`.
 //! - *Skipping*: the router had no memory for a statement, so the statement's remaining bytes are dropped as they
 //!   arrive.
+//! - *Closing*: the client's connection will be closed. Statements that the client has already sent are rejected first,
+//!   so that each of them has an answer.
 
 use super::input_arrivals::{Arrived, InputArrivals};
 use ladderpass_overload::ClientUsage;
@@ -58,6 +60,8 @@
     awaited: Option<Awaited>,
     has_sent_statement: bool,
     admission: Admission,
+    /// By when the client's connection is closed, if it is closing.
+    closes_by: Option<Time>,
     /// Whether the client has sent more than its input buffer holds since its socket was last found empty.
     has_overrun: bool,
     /// Set after the client had sent more than its input buffer holds: if the client's socket stays empty until this
@@ -84,6 +88,7 @@
             awaited: None,
             has_sent_statement: false,
             admission: Admission::Undecided,
+            closes_by: None,
             has_overrun: false,
             refill_until: None,
             is_just_answered: false,
@@ -137,6 +142,22 @@
         self.has_sent_statement
     }
 
+    /// Records that the client's connection is closing, and is closed by the given time even if more arrives.
+    pub(in crate::reducer) fn begin_closing(&mut self, closes_by: Time) {
+        self.closes_by.get_or_insert(closes_by);
+    }
+
+    /// Returns by when the client's connection is closed, or `None` if it is not closing.
+    pub(in crate::reducer) fn closes_by(&self) -> Option<Time> {
+        self.closes_by
+    }
+
+    /// Returns whether the client's connection is to be closed soon after its last answer, because the client was
+    /// rejected in a crowd or its connection is closing.
+    pub(in crate::reducer) fn closes_when_idle(&self) -> bool {
+        self.admission == Admission::Rejected || self.closes_by.is_some()
+    }
+
     /// Counts an error that the client itself has made, and starts a pause in reading unless there were more than
     /// `max_errors` errors. Returns the number of errors so far.
     pub(in crate::reducer) fn record_error(&mut self, max_errors: u32) -> u32 {
--- a/crates/ladderpass/tests/disconnects/pipelined_clients.rs
+++ b/crates/ladderpass/tests/disconnects/pipelined_clients.rs
@@ -1,6 +1,6 @@
 //! Clients that pipeline many statements, and then disconnect or stay.
 
-use crate::common::{error_response, query, statement};
+use crate::common::{error_response, next_frame, query, sqlstate, statement};
 use crate::router_harness::{RouterHarness, read_answer, start_harness, write_statement};
 use std::io::Write;
 use std::net::TcpStream;
@@ -112,3 +112,24 @@
         assert!(served == count || !all_served && served >= 60, "{served} of {count}");
     }
 }
+
+/// Guards against lost RPCs behind a client's last error: a statement that arrived in the pause after an earlier error was
+/// still in the socket when the connection was closed, and the close reset the connection.
+#[test]
+fn a_statement_sent_in_the_pause_before_the_last_error_is_answered() {
+    let harness = start_harness(|config| config);
+    let mut client = harness.client();
+    client.write_all(&query("SELECT 1").repeat(4)).expect("the router reads");
+    let mut codes = Vec::new();
+    while let Some((kind, body)) = next_frame(&mut client) {
+        if kind != b'E' {
+            continue;
+        }
+        codes.push(sqlstate(&body));
+        if codes.len() == 3 {
+            // The router reads nothing for 0.4 s.
+            client.write_all(&query(&write_statement("1"))).expect("the socket accepts the statement");
+        }
+    }
+    assert_eq!(codes, ["42601", "42601", "42601", "42601", "53300"]);
+}
--- a/crates/ladderpass/tests/reducer/pipelined_rejections.rs
+++ b/crates/ladderpass/tests/reducer/pipelined_rejections.rs
@@ -1,6 +1,6 @@
 //! Statements that a client has sent behind one that is rejected.
 
-use crate::common::{query, startup, statement};
+use crate::common::{frame, query, startup, statement};
 use crate::scenarios::{answers_of, error_answer};
 use crate::simulation::{Client, Simulation, default_launch};
 use ladderpass::reducer::{ConnectionId, Event};
@@ -83,3 +83,33 @@
     }
     assert_eq!(answers_of(&simulation, id).len(), 2, "the second statement has its own answer");
 }
+
+/// Guards against lost RPCs behind a client's last error: a statement that was sent behind it got no answer as the
+/// connection was closed.
+#[test]
+fn a_statement_behind_the_last_error_of_a_client_is_answered() {
+    let valid = || query(&statement("20", "read", 480, "1"));
+    let four_errors = query("SELECT 1").repeat(4);
+    for (name, bytes, expected) in [
+        (
+            "four errors",
+            [four_errors, valid()].concat(),
+            ["42601", "42601", "42601", "42601", "53300"].as_slice(),
+        ),
+        ("unknown message", [frame(b'z', b""), valid()].concat(), &["08P01", "53300"]),
+    ] {
+        let mut simulation = Simulation::new(vec![255; 4000]);
+        let id = accept_client(&mut simulation, expected.len());
+        let deadline = simulation.now + Span::from_millis(1000);
+        simulation.clients.get_mut(&id).expect("the client is connected").deadlines.fill(deadline);
+        simulation.receive(id, &[startup(), bytes].concat());
+        let mut answers = Vec::new();
+        while simulation.clients.contains_key(&id) {
+            answers = answers_of(&simulation, id);
+            simulation.advance(Span::from_millis(5));
+            assert!(simulation.now < deadline, "{name}: the connection is closed in the end");
+        }
+        let codes: Vec<&str> = answers.iter().map(|(_, code)| code.as_str()).collect();
+        assert_eq!(codes, expected, "{name}");
+    }
+}
