A poll that crowded discovery turned away is followed at once where changes must soon be known

Cause: after each such poll the router paused for 0.5 to 5 s, as if discovery were down; the pauses did not look at the time by which the changes had to be known. Only a poll without any answer after a silence was followed at once.

Change: the core keeps the time by which the router must know what it misses (6 s after the loss of the watch, 4 s after SIGHUP). In the last 3 s of it, and 0.5 s beyond, a poll that had waited 0.5 s is followed within 0.1 s; one that failed sooner only where discovery is not known to be down, at 0.5 to 1 s from poll to poll. Else as before.

--- a/crates/ladderpass-routing/src/router.rs
+++ b/crates/ladderpass-routing/src/router.rs
@@ -54,6 +54,8 @@
                 next_health_check_at: now,
                 next_endpoint_poll_at: deployment.endpoint_poll_interval.map(|_| now),
                 endpoint_poll_failures: 0,
+                endpoint_polled_at: None,
+                missed_changes: None,
                 output: TickOutput::default(),
                 deployment,
             },
--- a/crates/ladderpass-routing/src/state/router_state.rs
+++ b/crates/ladderpass-routing/src/state/router_state.rs
@@ -10,6 +10,15 @@
 use crate::types::{Deployment, RpcId, TickOutput};
 use nanorand::WyRand;
 
+/// Changes of the endpoint list that a router may be missing because no watch is open.
+#[derive(Clone, Copy, Debug)]
+pub struct MissedChanges {
+    /// The time by which the router must know the changes.
+    pub notified_by: Time,
+    /// Whether the watch may have ended because discovery is down.
+    pub discovery_may_be_down: bool,
+}
+
 /// The state of one router.
 pub struct RouterState {
     pub deployment: Deployment,
@@ -29,6 +38,10 @@
     pub next_health_check_at: Time,
     pub next_endpoint_poll_at: Option<Time>,
     pub endpoint_poll_failures: u32,
+    /// When the poll of the endpoint list that has no answer yet was made.
+    pub endpoint_polled_at: Option<Time>,
+    /// The changes of the endpoint list that the router may be missing, or `None` while a watch is open.
+    pub missed_changes: Option<MissedChanges>,
     /// The output of the next tick.
     pub output: TickOutput,
 }
--- a/crates/ladderpass-routing/src/types.rs
+++ b/crates/ladderpass-routing/src/types.rs
@@ -191,6 +191,9 @@
         /// watch fell silent, moved to another address or brought an older list, because the router has then
         /// missed changes, and it must act on a change soon after the publication.
         poll_immediately: bool,
+        /// The time by which the router must know the changes that it has missed, if discovery is not known to be down:
+        /// the watch fell silent, or discovery has moved. `None` after a watch or a poll that ended in another way.
+        notified_by: Option<Time>,
     },
 }
 
--- a/crates/ladderpass-routing/tests/endpoints.rs
+++ b/crates/ladderpass-routing/tests/endpoints.rs
@@ -9,7 +9,8 @@
 fn a_failed_poll_is_retried_after_a_backoff_shorter_than_the_poll_interval() {
     let mut router = router_with_replicas(1, |d| d.endpoint_poll_interval = Some(Span::from_millis(10_000)));
     assert!(router.tick(at(0)).poll_endpoints);
-    router.on_endpoint_update(at(100), EndpointUpdate::Failed { poll_immediately: false });
+    let failed = EndpointUpdate::Failed { poll_immediately: false, notified_by: None };
+    router.on_endpoint_update(at(100), failed);
     assert!(
         !router.tick(at(100)).poll_endpoints,
         "polled again without a backoff, which would load the discovery service"
@@ -42,7 +43,8 @@
                 polled_at = Some(ms);
             }
             if polled_at == Some(ms - 1000) {
-                router.on_endpoint_update(at(ms), EndpointUpdate::Failed { poll_immediately: false });
+                let failed = EndpointUpdate::Failed { poll_immediately: false, notified_by: None };
+                router.on_endpoint_update(at(ms), failed);
             }
         }
     }
--- a/crates/ladderpass-routing/tests/invariants/run.rs
+++ b/crates/ladderpass-routing/tests/invariants/run.rs
@@ -299,9 +299,10 @@
     fn update_endpoints(&mut self) {
         match self.random_below(20) {
             0 | 1 => {
-                return self
-                    .router
-                    .on_endpoint_update(self.now, EndpointUpdate::Failed { poll_immediately: false });
+                return self.router.on_endpoint_update(
+                    self.now,
+                    EndpointUpdate::Failed { poll_immediately: false, notified_by: None },
+                );
             }
             // A complete list that is empty. Its members may be listed again later.
             2 => {
--- a/crates/ladderpass-simulator-adapter/src/instance.rs
+++ b/crates/ladderpass-simulator-adapter/src/instance.rs
@@ -288,7 +288,8 @@
     ) -> Result<(), EventProblem> {
         let kind = require(line.update_kind, "How")?;
         if kind == "broken" {
-            self.router.on_endpoint_update(now, EndpointUpdate::Failed { poll_immediately: false });
+            let failed = EndpointUpdate::Failed { poll_immediately: false, notified_by: None };
+            self.router.on_endpoint_update(now, failed);
             return Ok(());
         }
         let number = require(line.list_number, "Buffer")?;
--- a/crates/ladderpass/src/limits.rs
+++ b/crates/ladderpass/src/limits.rs
@@ -132,6 +132,9 @@
     pub watch_silence_timeout: Span,
     /// The time after a change of the endpoint list from which on the protocol expects a router to know of the change.
     pub notified_within: Span,
+    /// The time after a move of discovery to another address from which on the protocol expects a router to know what
+    /// discovery has there.
+    pub notified_after_move: Span,
 
     // The event loop.
     /// How many clients are accepted per event of the listener, so that clients that are already connected are not
@@ -241,6 +244,7 @@
     late_watch_timeout: Span::from_millis(2200),
     watch_silence_timeout: Span::from_millis(3000),
     notified_within: Span::from_millis(6000),
+    notified_after_move: Span::from_millis(4000),
     accepts_per_event: 64,
     reads_per_event: 8,
     sockets_per_iteration: 256,
--- a/crates/ladderpass/src/reducer/handlers/discovery_watch.rs
+++ b/crates/ladderpass/src/reducer/handlers/discovery_watch.rs
@@ -30,7 +30,8 @@
         unused.into_iter().for_each(|id| self.close_connection(id));
         // The routing core starts the poll of the new address itself. If the reducer started the poll, the routing
         // core's backoff could end in the middle of the poll and start another one.
-        self.router.on_endpoint_update(now, EndpointUpdate::Failed { poll_immediately: true });
+        let notified_by = Some(now + self.limits.notified_after_move);
+        self.router.on_endpoint_update(now, EndpointUpdate::Failed { poll_immediately: true, notified_by });
     }
 
     fn has_answered(&self, id: ConnectionId) -> bool {
@@ -176,7 +177,7 @@
             self.discovery.late().into_iter().for_each(|late| self.close_connection(late));
             self.discovery.demote_current();
             self.connections.set_deadline(id, Some(late_until));
-            return self.router.on_endpoint_update(now, EndpointUpdate::Failed { poll_immediately });
+            return self.report_watch_failure(now, poll_immediately);
         }
         self.end_watch(now, id, "silence", poll_immediately);
     }
@@ -190,7 +191,13 @@
         let has_successor = self.discovery.has_successor(id);
         self.close_connection(id);
         if !has_successor {
-            self.router.on_endpoint_update(now, EndpointUpdate::Failed { poll_immediately });
+            self.report_watch_failure(now, poll_immediately);
         }
     }
+
+    /// Reports to the routing core that a watch has ended, or that a request for one was not answered.
+    fn report_watch_failure(&mut self, now: Time, poll_immediately: bool) {
+        let notified_by = self.discovery.silent_since().map(|since| since + self.limits.notified_within);
+        self.router.on_endpoint_update(now, EndpointUpdate::Failed { poll_immediately, notified_by });
+    }
 }
--- a/crates/ladderpass/src/reducer/state/discovery_watch.rs
+++ b/crates/ladderpass/src/reducer/state/discovery_watch.rs
@@ -218,6 +218,12 @@
         self.offers_older_list && !was_older
     }
 
+    /// Returns the time since which discovery has been silent on a watch that had answered, or `None` if discovery was
+    /// not silent, or has sent a list since.
+    pub(in crate::reducer) fn silent_since(&self) -> Option<Time> {
+        self.silent_since
+    }
+
     /// Returns whether discovery is silent on the watch, and has been for at most `Limits::notified_within`. The
     /// protocol gives a router this time to learn of a change, so changes that the router missed during the silence do
     /// not count as known to the router yet.
--- a/crates/ladderpass/tests/discovery_outage/main.rs
+++ b/crates/ladderpass/tests/discovery_outage/main.rs
@@ -4,6 +4,7 @@
 
 #[path = "../common/mod.rs"]
 mod common;
+mod crowded;
 mod scenario;
 mod simulation;
 
--- a/crates/ladderpass/tests/discovery_outage/simulation.rs
+++ b/crates/ladderpass/tests/discovery_outage/simulation.rs
@@ -19,6 +19,18 @@
 /// of 60 seeds takes 6.1 s until the router has read the change, and 6 s are allowed.
 const MAX_ANSWER_OF_OLDER_LIST_MS: u64 = 1400;
 
+/// The response with which discovery turns a poll away.
+const ERROR_STATUS: &[u8] = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+
+/// How discovery turns a poll away.
+#[derive(Clone, Copy, Debug)]
+pub enum TurnedAway {
+    /// Discovery's response has the status 503.
+    ErrorStatus,
+    /// Discovery closes the connection without a response.
+    Reset,
+}
+
 /// What discovery does on the connection of a watch.
 #[derive(Clone, Debug)]
 enum DiscoveryEvent {
@@ -60,6 +72,10 @@
     /// When the router had read the change that discovery has after its return, or None if the router has not read it
     /// yet.
     pub read_at: Option<Time>,
+    /// Whether discovery can be reached, but leaves each poll unanswered until the test answers it.
+    pub holds_polls: bool,
+    /// The polls that discovery leaves unanswered, in the order in which they were made.
+    pub held_polls: Vec<ConnectionId>,
 }
 
 /// A span in milliseconds.
@@ -104,6 +120,8 @@
             last_event_number: 0,
             opened: Vec::new(),
             read_at: None,
+            holds_polls: false,
+            held_polls: Vec::new(),
         }
     }
 
@@ -145,6 +163,9 @@
         let short_delay = ms(self.random.generate_range(0..40));
         if !self.is_unreachable(port) {
             self.schedule(short_delay, id, DiscoveryEvent::Connected);
+            if self.holds_polls {
+                return self.held_polls.push(id);
+            }
             let within = ms(self.random.generate_range(40..self.max_answer_ms) as i64);
             self.schedule(within, id, DiscoveryEvent::AnswerWithList);
             return self.schedule(within, id, DiscoveryEvent::Repeat(chunk(b"\n"), ms(2000)));
@@ -163,9 +184,7 @@
             Refused => self.schedule(short_delay, id, DiscoveryEvent::Closed),
             NoDescriptor => self.schedule(Span::ZERO, id, DiscoveryEvent::NoDescriptor),
             Reset => self.schedule(long_delay, id, DiscoveryEvent::Closed),
-            ErrorStatus => {
-                self.schedule(long_delay, id, bytes(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"))
-            }
+            ErrorStatus => self.schedule(long_delay, id, bytes(ERROR_STATUS)),
             NotChunked => {
                 self.schedule(long_delay, id, bytes(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"))
             }
@@ -223,6 +242,26 @@
         }
     }
 
+    /// Whether a poll that discovery has not answered is still open at the router.
+    pub fn is_open(&self, id: ConnectionId) -> bool {
+        self.watches.contains_key(&id)
+    }
+
+    /// Discovery answers a poll with the endpoint list that it has, and sends empty lines from then on.
+    pub fn answer_poll(&mut self, id: ConnectionId) {
+        self.schedule(Span::ZERO, id, DiscoveryEvent::AnswerWithList);
+        self.schedule(Span::ZERO, id, DiscoveryEvent::Repeat(chunk(b"\n"), ms(2000)));
+    }
+
+    /// Discovery turns a poll away.
+    pub fn turn_away(&mut self, id: ConnectionId, how: TurnedAway) {
+        let event = match how {
+            TurnedAway::ErrorStatus => DiscoveryEvent::Bytes(ERROR_STATUS.to_vec()),
+            TurnedAway::Reset => DiscoveryEvent::Closed,
+        };
+        self.schedule(Span::ZERO, id, event);
+    }
+
     /// Runs the simulation until the time `until`.
     pub fn run_until(&mut self, until: Time) {
         loop {
