Late in a shutdown a connection is read once more before it is closed

What callers could see: more than 0.6 s after SIGTERM, 57P03 to one statement and a reset for the next of a client that sends without waiting.

Cause: past the time in which RPCs begin, await_client_input closed with close_when_written and without a read. Evidence: the new test, before: "closed without a last look: [Close(ConnectionId(1)), Exit]".

Change: the idle close with its last read; the connection counts as closing, so that a client that sends without a pause is closed 2 s later (second test; it held before too). A client that is closing already has no pause after an error, so that what it sent is answered within these 2 s.

--- a/crates/ladderpass/src/reducer/handlers/client_input.rs
+++ b/crates/ladderpass/src/reducer/handlers/client_input.rs
@@ -257,10 +257,12 @@
             self.set_awaited(id, None);
             return self.connections.set_deadline(id, deadline);
         }
-        // The shutdown is past the time in which RPCs begin. A client that goes on sending messages other than
-        // statements must not delay the end of the process.
-        if self.is_past_accept_time(now) {
-            return self.close_when_written(now, id);
+        // The shutdown is past the time in which RPCs begin. A client that goes on sending must not delay the end of the
+        // process for long.
+        if self.is_past_accept_time(now)
+            && let Some(client) = self.connections.client_mut(id)
+        {
+            client.begin_closing(now + self.limits.message_timeout);
         }
         self.await_next_statement(now, id);
     }
--- a/crates/ladderpass/src/reducer/handlers/rejections.rs
+++ b/crates/ladderpass/src/reducer/handlers/rejections.rs
@@ -115,6 +115,9 @@
         error: &StatementError,
     ) {
         let Some(client) = self.connections.client_mut(id) else { return };
+        if client.closes_by().is_some() {
+            return self.answer_counted_error(id, length, error);
+        }
         let errors = client.record_error(self.limits.client_errors);
         let is_last = !client.is_backing_off();
         if is_last {
--- a/crates/ladderpass/tests/reducer/pipelined_rejections.rs
+++ b/crates/ladderpass/tests/reducer/pipelined_rejections.rs
@@ -3,7 +3,7 @@
 use crate::common::{frame, query, startup, statement};
 use crate::scenarios::{answers_of, error_answer};
 use crate::simulation::{Client, Simulation, default_launch};
-use ladderpass::reducer::{ConnectionId, Event};
+use ladderpass::reducer::{ConnectionId, Effect, Event};
 use ladderpass_routing::Span;
 
 /// The number of statements that a client sends without waiting for answers.
@@ -133,3 +133,49 @@
     // is evicted after 250 ms.
     assert_eq!(sqlstates_until_closed(&mut simulation, id), ["42601", "42601", "42601", "53300"]);
 }
+
+/// Guards against lost RPCs late in a shutdown: a connection whose statement was rejected was closed without a last look
+/// at its socket, in which the next statement may have arrived.
+#[test]
+fn a_connection_is_read_once_more_before_it_is_closed_late_in_a_shutdown() {
+    let mut simulation = Simulation::new(vec![255; 4000]);
+    let id = accept_client(&mut simulation, 2);
+    let [first, second] = [20, 21].map(|id| query(&statement(&id.to_string(), "read", 480, "1")));
+    let (begun, rest) = first.split_at(20);
+    simulation.receive(id, &[startup().as_slice(), begun].concat());
+    simulation.apply(Event::Terminate);
+    simulation.advance(Span::from_millis(650));
+    simulation.receive(id, rest);
+    simulation.write(id);
+    assert_eq!(answers_of(&simulation, id), [error_answer("57P03")]);
+    let mut effects = Vec::new();
+    while !effects.iter().any(|effect| matches!(effect, Effect::CloseIfQuiet(_) | Effect::Close(_))) {
+        effects = simulation.reducer.handle(simulation.now, Event::Tick);
+    }
+    assert!(effects.contains(&Effect::CloseIfQuiet(id)), "closed without a last look: {effects:?}");
+    // The last look finds the second statement.
+    simulation.receive(id, &second);
+    simulation.write(id);
+    assert_eq!(answers_of(&simulation, id), vec![error_answer("57P03"); 2]);
+    simulation.advance(Span::ZERO);
+    simulation.advance(Span::ZERO);
+    assert!(simulation.exited, "the process ends once nothing more arrives");
+}
+
+/// A client that goes on sending late in a shutdown does not keep the process from ending.
+#[test]
+fn a_client_that_sends_without_a_pause_does_not_delay_the_end_of_a_shutdown_for_long() {
+    let mut simulation = Simulation::new(vec![255; 4000]);
+    let id = accept_client(&mut simulation, 0);
+    simulation.clients.get_mut(&id).expect("the client is connected").broke_protocol = true;
+    simulation.receive(id, &startup());
+    simulation.apply(Event::Terminate);
+    let end = simulation.now + Span::from_millis(3000);
+    while !simulation.exited && simulation.now < end {
+        if simulation.clients.contains_key(&id) {
+            simulation.feed(id, &query(""));
+        }
+        simulation.advance(Span::from_millis(2));
+    }
+    assert!(simulation.exited, "the process still runs 3 s after SIGTERM");
+}
