A member that a list adds has its first health check within 0.9 s

Cause: due checks are looked for once a second. In this case the list came 1 ms after such a look (20522 ms), and the check reached the member at 21523 ms, 1 ms past the test's bound. No descriptor was missing.

Change: a member that is added brings the next look forward to 0.9 s.

--- a/crates/ladderpass-routing/src/endpoints.rs
+++ b/crates/ladderpass-routing/src/endpoints.rs
@@ -200,4 +200,5 @@
     let check_interval = health_check_schedule::check_interval(state, now, index);
     let first_check = check_interval - position_refresh_interval(state);
     health_check_schedule::set_next_check(state, index, now + first_check.max(Span::ZERO));
+    health_check_schedule::look_for_first_check(state, now);
 }
--- a/crates/ladderpass-routing/src/health_check_schedule.rs
+++ b/crates/ladderpass-routing/src/health_check_schedule.rs
@@ -15,6 +15,9 @@
 
 /// The shortest time for a round of periodic health checks. A round contains one check of each listed member.
 pub const MIN_ROUND: Span = Span::from_millis(1000);
+/// The router looks for due checks within this time after it has added a member, which leaves time for the check to
+/// reach the member within a round.
+const FIRST_CHECK_WITHIN: Span = Span::from_millis(900);
 /// The longest time for a round of periodic health checks.
 const MAX_ROUND: Span = Span::from_millis(60_000);
 /// Between `MIN_ROUND` and `MAX_ROUND`, a round takes as long as is needed to send at most this many checks for each
@@ -146,6 +149,11 @@
     set_next_check(state, index, now + wait);
 }
 
+/// Makes sure that the router looks for due checks soon after it has added a member, which was never in contact.
+pub fn look_for_first_check(state: &mut RouterState, now: Time) {
+    state.next_health_check_at = state.next_health_check_at.min(now + FIRST_CHECK_WITHIN);
+}
+
 /// Sets when the next check of a member is due, and makes sure that the router looks for due checks by then.
 pub fn set_next_check(state: &mut RouterState, index: usize, due: Time) {
     state.topology.member_mut(index).next_health_check_at = due;
--- a/crates/ladderpass-routing/tests/endpoints.rs
+++ b/crates/ladderpass-routing/tests/endpoints.rs
@@ -110,3 +110,15 @@
     }
     assert!(max_indexes < 30, "{max_indexes} indexes were in use for three members at a time");
 }
+
+/// Guards against a late first health check: a member that the list adds right after the router has looked for due checks
+/// waited for a whole second until the router looked again.
+#[test]
+fn a_member_added_right_after_a_round_of_health_checks_is_checked_within_a_second() {
+    let mut router = router_with_replicas(1, |d| d.gossip = false);
+    router.tick(at(0));
+    router.on_endpoint_update(at(1), EndpointUpdate::Changes(&[endpoint(2, false)]));
+    let is_checked = |ms: i64, router: &mut Router| router.tick(at(ms)).health_checks.contains(&MemberId(2));
+    let checked_at = (1..2000).find(|&ms| is_checked(ms, &mut router));
+    assert!(checked_at.is_some_and(|ms| ms <= 901), "first checked at {checked_at:?} ms");
+}
