Build and pass the test suite on arm64: name the event loop's waiting call

Change: failing_syscalls has the constant EVENT_WAIT: epoll_wait, or epoll_pwait on the architectures whose Linux has no epoll_wait (aarch64, riscv64, loongarch64). The three places use it. Where EVENT_WAIT is epoll_pwait, the list of calls of an_interrupted_epoll_wait_is_retried would name it twice; the second is dropped, so that each call fails as often as it says. On x86-64 the lists of calls are as before.

--- a/crates/ladderpass/tests/failing_calls.rs
+++ b/crates/ladderpass/tests/failing_calls.rs
@@ -163,9 +163,10 @@
 /// The event loop and the sockets wait for events with one of these system calls.
 #[test]
 fn an_interrupted_epoll_wait_is_retried() {
-    let calls = [libc::SYS_epoll_wait, libc::SYS_epoll_pwait, libc::SYS_epoll_pwait2];
-    let failures =
-        calls.map(|call| FailingSyscall { count: 200, ..FailingSyscall::with_errno(call, libc::EINTR) });
+    let mut calls = vec![failing_syscalls::EVENT_WAIT, libc::SYS_epoll_pwait, libc::SYS_epoll_pwait2];
+    calls.dedup();
+    let fail = |call| FailingSyscall { count: 200, ..FailingSyscall::with_errno(call, libc::EINTR) };
+    let failures: Vec<FailingSyscall> = calls.into_iter().map(fail).collect();
     let record = assert_all_served(&failing_syscalls::start(&failures, &[]));
     assert!(record.log.iter().any(|line| line.contains("all failures of call")), "{}", record.log.join("\n"));
 }
--- a/crates/ladderpass/tests/failing_syscalls/mod.rs
+++ b/crates/ladderpass/tests/failing_syscalls/mod.rs
@@ -17,6 +17,13 @@
 /// the failures and clock steps, separated by semicolons.
 const PLAN_VARIABLE: &str = "LADDERPASS_TEST_PLAN";
 
+/// The system call in which the event loop waits: `epoll_wait`, or `epoll_pwait` on the architectures whose Linux has no
+/// `epoll_wait`.
+#[cfg(not(any(target_arch = "aarch64", target_arch = "riscv64", target_arch = "loongarch64")))]
+pub const EVENT_WAIT: i64 = libc::SYS_epoll_wait;
+#[cfg(any(target_arch = "aarch64", target_arch = "riscv64", target_arch = "loongarch64"))]
+pub const EVENT_WAIT: i64 = libc::SYS_epoll_pwait;
+
 /// What happens to an intercepted system call.
 #[derive(Clone, Copy, Debug)]
 pub enum SyscallFault {
--- a/crates/ladderpass/tests/stalls.rs
+++ b/crates/ladderpass/tests/stalls.rs
@@ -243,7 +243,7 @@
         (libc::SYS_sendto, under_load, 37),
         (libc::SYS_connect, from_start, 1),
         (libc::SYS_close, under_load, 4),
-        (libc::SYS_epoll_wait, under_load, 60),
+        (failing_syscalls::EVENT_WAIT, under_load, 60),
     ];
     let case = |(nth, &(call, after, every)): (u64, &(i64, Duration, u64))| StallCase {
         call,
@@ -279,7 +279,7 @@
 fn a_stall_of_the_router_is_not_counted_as_a_member_failure() {
     let mut failures = Vec::new();
     for (nth, &(call, every)) in
-        (0..).zip(&[(libc::SYS_recvmsg, 211), (libc::SYS_sendto, 173), (libc::SYS_epoll_wait, 97)])
+        (0..).zip(&[(libc::SYS_recvmsg, 211), (libc::SYS_sendto, 173), (failing_syscalls::EVENT_WAIT, 97)])
     {
         let after = Duration::from_millis(500);
         let duration = Duration::from_millis(300);
