--- a/review/8/case.py
+++ b/review/8/case.py
@@ -56,7 +56,7 @@
         await node.start()
     discovery = Discovery(record, [node.entry() for node in nodes])
     await discovery.start()
-    services = [service("board-read"), service("move-write", "side_effect", 2000, worth=6.0)]
+    services = [service("board-read"), service("move-write", "side_effect", 2000, worth=6.0, late=0.7)]
     router = track(Router(record, discovery.address(), discovery.known(), settings(services, ["bounded", "write"], [800 * MS, 0]), folder))
     router.start()
     await router.ready()
--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -104,6 +104,9 @@
 class Node:
     """A member of a group. A primary stands at the present; a replica at `position()`."""
 
+    # What a load report holds besides x0 and x1, and whether the list shows roles.
+    further_columns, listed_role = "", True
+
     def __init__(self, record, name, role="leader", work_ms=5.0, cell=2):
         self.record, self.name, self.role, self.work_ms, self.cell = record, name, role, work_ms, cell
         self.port = None
@@ -123,6 +126,8 @@
     def entry(self, **changes):
         entry = {"instanceId": self.name, "hostPort": self.address(), "zone": "a", "machineType": "m2", "cell": self.cell,
                  "lifecycle": "SERVING", "weight": 1.0, "startedAtMs": 0, "role": self.role}
+        if not self.listed_role:
+            del entry["role"]
         entry.update(changes)
         return entry
 
@@ -133,7 +138,7 @@
         return parameter("node_role", self.role) + parameter("replay_position", str(position or self.position()))
 
     def report(self):
-        return ("x0=%.3f,x1=%d" % (self.position() / 1000, self.role == "leader")).encode()
+        return ("x0=%.3f,x1=%d%s" % (self.position() / 1000, self.role == "leader", self.further_columns)).encode()
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
@@ -285,8 +290,8 @@
     return base
 
 
-def service(name, effect="pure", deadline_ms=2500, slo_ms=750, ttl_ms=5000, scope="all", worth=3.0):
-    return {"DedupScope": scope, "Effect": effect, "GiveUp": deadline_ms * MS, "KeyTtl": ttl_ms * MS, "LateWorth": 0.5,
+def service(name, effect="pure", deadline_ms=2500, slo_ms=750, ttl_ms=5000, scope="all", worth=3.0, late=0.0):
+    return {"DedupScope": scope, "Effect": effect, "GiveUp": deadline_ms * MS, "KeyTtl": ttl_ms * MS, "LateWorth": late,
             "Name": name, "Slo": slo_ms * MS, "Stream": False, "Worth": worth}
 
 
