Role and position of an answer that is malformed or breaks off are not used

Cause: an answer that was given up still handed its role and position to on_job_ended. A position ten minutes ahead became the member's recorded position, which never decreases, so the replica counted as fresh for ten minutes however far it lagged. A role moved the group's primary in the same way.

Why this works: EndedJob::result is the one place where an answer that did not end in ReadyForQuery becomes a result, and it takes parameters from complete answers only; a malformed message drops the answer first. So no way in which an answer can end early leads to a role or position.

--- a/crates/ladderpass/src/reducer/handlers/member_answers.rs
+++ b/crates/ladderpass/src/reducer/handlers/member_answers.rs
@@ -66,10 +66,11 @@
         true
     }
 
-    /// Closes a connection on which a message is malformed, arrives out of place or does not end in time. Returns
-    /// false, because there is nothing more to read.
+    /// Closes a connection on which a message is malformed, arrives out of place or does not end in time. Nothing of the
+    /// answer to which the message belongs is used. Returns false, because there is nothing more to read.
     pub(super) fn on_malformed_message(&mut self, now: Time, id: ConnectionId) -> bool {
-        let Some(member) = self.connections.member(id) else { return false };
+        let Some(member) = self.connections.member_mut(id) else { return false };
+        member.discard_answer();
         let outcome =
             if member.is_query_sent() { AttemptOutcome::ConnectionLost } else { AttemptOutcome::Unreachable };
         tracing::warn!(
--- a/crates/ladderpass/src/reducer/handlers/member_jobs.rs
+++ b/crates/ladderpass/src/reducer/handlers/member_jobs.rs
@@ -4,7 +4,7 @@
 use crate::pg;
 use crate::reducer::Reducer;
 use crate::reducer::connection_id::ConnectionId;
-use crate::reducer::state::member_connection::{EndedJob, Job, Withdrawal};
+use crate::reducer::state::member_connection::{Job, Withdrawal};
 use ladderpass_routing::{AttemptOutcome, LoadReport, MemberId, RpcId, Span, Time};
 
 /// The query that a health check sends to a member, which answers with a load report.
@@ -97,15 +97,15 @@
         }
         let (is_established, connect_deadline) = (member.is_established(), member.connect_deadline());
         let index = member.member();
-        let EndedJob { job: Some(job), member, assigned_at, answer } = member.end_job() else { return };
+        let ended = member.end_job();
+        let Some(job) = ended.job else { return };
         if is_established {
             self.return_to_pool(now, id);
         } else {
             self.connections.set_deadline(id, Some(connect_deadline));
             self.members.remove_connecting(index, id);
         }
-        let result = answer.to_result(member, outcome, now - assigned_at);
-        self.on_job_ended(now, job, result, LoadReport::default());
+        self.on_job_ended(now, job, ended.result(now, outcome), LoadReport::default());
     }
 
     /// Sets the deadline for writing a query of which the member connection's socket accepts no more bytes for now. If
@@ -156,21 +156,20 @@
     pub(super) fn end_member_connection(&mut self, now: Time, id: ConnectionId, outcome: AttemptOutcome) {
         let Some(member) = self.connections.member_mut(id) else { return };
         let index = member.member();
-        let EndedJob { job, member, assigned_at, answer } = member.end_job();
+        let ended = member.end_job();
         if outcome == AttemptOutcome::Ok
-            && let Some(Job::Attempt(rpc)) = job
+            && let Some(Job::Attempt(rpc)) = ended.job
         {
             self.forward_answer(now, id, rpc);
         }
         self.close_connection(id);
         // If the job timed out in less than `Limits::connect_timeout`, its deadline came from the RPC's client, which
         // is no reason to close the member's other connections.
-        if outcome == AttemptOutcome::TimedOut && now - assigned_at >= self.limits.connect_timeout {
-            self.close_silent_connections(index, assigned_at);
+        if outcome == AttemptOutcome::TimedOut && now - ended.assigned_at >= self.limits.connect_timeout {
+            self.close_silent_connections(index, ended.assigned_at);
         }
-        let result = answer.to_result(member, outcome, now - assigned_at);
-        if let Some(job) = job {
-            self.on_job_ended(now, job, result, LoadReport::default());
+        if let Some(job) = ended.job {
+            self.on_job_ended(now, job, ended.result(now, outcome), LoadReport::default());
         }
     }
 
--- a/crates/ladderpass/src/reducer/state/member_connection.rs
+++ b/crates/ladderpass/src/reducer/state/member_connection.rs
@@ -2,9 +2,9 @@
 //! and the connection is used again only once the member has answered the empty query. If any other result arrives
 //! between the answer to the query and the answer to the empty query, the connection is closed.
 
-use super::query_answer::QueryAnswer;
+use super::query_answer::{QueryAnswer, unanswered_result};
 use crate::pg;
-use ladderpass_routing::{AttemptOutcome, MemberId, RpcId, Span, Time};
+use ladderpass_routing::{AttemptOutcome, AttemptResult, MemberId, RpcId, Span, Time};
 
 /// What a connection to a member is used for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,7 +55,19 @@
     pub(in crate::reducer) job: Option<Job>,
     pub(in crate::reducer) member: MemberId,
     pub(in crate::reducer) assigned_at: Time,
-    pub(in crate::reducer) answer: QueryAnswer,
+    answer: QueryAnswer,
+}
+
+impl EndedJob {
+    /// Returns the result of the job, which ended with this outcome at the time `now`. Of an answer that is not
+    /// complete nothing is used: its role and its position may be as invalid as the bytes that were to follow.
+    pub(in crate::reducer) fn result(&self, now: Time, outcome: AttemptOutcome) -> AttemptResult {
+        let latency = now - self.assigned_at;
+        match self.answer.is_complete() {
+            true => self.answer.to_result(self.member, outcome, latency),
+            false => unanswered_result(self.member, outcome, latency),
+        }
+    }
 }
 
 /// A job whose answer from the member is complete.
@@ -164,6 +176,11 @@
         self.job.take()
     }
 
+    /// Drops what has arrived of the answer to the job's query.
+    pub(in crate::reducer) fn discard_answer(&mut self) {
+        self.answer = QueryAnswer::default();
+    }
+
     /// Removes and returns the connection's job, with what has arrived of the job's answer.
     pub(in crate::reducer) fn end_job(&mut self) -> EndedJob {
         EndedJob {
--- a/crates/ladderpass/tests/reducer/main.rs
+++ b/crates/ladderpass/tests/reducer/main.rs
@@ -10,6 +10,7 @@
 #[path = "../common/mod.rs"]
 mod common;
 mod limits;
+mod malformed_answers;
 mod parsers;
 mod pipelined_rejections;
 mod random_runs;
