A position ahead of the members' clock is not used before others confirm it

The difference also moved what all other members had to prove, their lags and the times of their roles, and any three such positions confirmed it for good.

Evidence: before the change reducer::malformed_answers says "read at follower, 2500 ms ahead", left, right, and routing/primary "left: Some(0) right: Some(2)" (the new primary gets no write).

Why this works: a position more than 1 s ahead is checked against what earlier positions have confirmed, and is stored as unconfirmed only. A member's next answer refutes it. Positions of primaries are current and limit how far the clock can be behind; once three agree, a lone lead requires nothing from others. A difference is confirmed by three positions that agree, one of them repeated by its member, so a router that really starts behind still finds out. Times of roles use the confirmed difference alone. Limits::max_clock_lead went to the one module that uses it. A log line names member and lead.

--- a/crates/ladderpass-routing/src/attempt.rs
+++ b/crates/ladderpass-routing/src/attempt.rs
@@ -135,9 +135,9 @@
 
 fn record_role(state: &mut RouterState, now: Time, index: usize, result: &AttemptResult) {
     let Some(role) = result.role else { return };
-    let member_time = state.latest_time_of_members_clock(now);
+    let member_time = state.time_of_members_clock(now);
     let at = match role {
-        Role::Primary => result.position.unwrap_or(member_time - result.latency),
+        Role::Primary => result.position.unwrap_or(member_time - result.latency).min(member_time),
         Role::Replica => member_time,
     };
     gossip::record_role_and_publish(state, now, index, role, at);
--- a/crates/ladderpass-routing/src/endpoints.rs
+++ b/crates/ladderpass-routing/src/endpoints.rs
@@ -172,7 +172,7 @@
         PrimaryInList::AtStart => now == state.started_at,
         PrimaryInList::Absent => false,
     };
-    let member_time = state.latest_time_of_members_clock(now);
+    let member_time = state.time_of_members_clock(now);
     let member = state.topology.member_mut(entry.member.0 as usize);
     member.machine_kind = entry.machine_kind;
     member.zone = entry.zone;
--- a/crates/ladderpass-routing/src/health_check.rs
+++ b/crates/ladderpass-routing/src/health_check.rs
@@ -108,10 +108,10 @@
     if let Some(position) = report.position {
         record_position(state, now, index, position, &report);
     }
-    let sent_at = state.latest_time_of_members_clock(now) - latency;
+    let member_time = state.time_of_members_clock(now);
     let member = state.topology.member_mut(index);
     member.reported_at = now;
-    let at = report.position.unwrap_or(sent_at);
+    let at = report.position.unwrap_or(member_time - latency).min(member_time);
     match report.is_primary {
         Some(true) => gossip::record_role_and_publish(state, now, index, Role::Primary, at),
         // Positions never decrease. A position from before the time at which the member was last seen as primary
--- a/crates/ladderpass-routing/src/state/router_state.rs
+++ b/crates/ladderpass-routing/src/state/router_state.rs
@@ -52,6 +52,12 @@
         now + self.clock.behind
     }
 
+    /// Returns the time that the members' clock shows now, as far as several positions confirm the difference. Times at
+    /// which members show their roles are given by this time, so that one corrupt position does not move them.
+    pub fn time_of_members_clock(&self, now: Time) -> Time {
+        now + self.clock.confirmed_behind
+    }
+
     pub fn method_of(&self, rpc: RpcId) -> &MethodLatency {
         &self.methods[self.rpcs[rpc].arrival.method as usize]
     }
--- a/crates/ladderpass-routing/tests/primary.rs
+++ b/crates/ladderpass-routing/tests/primary.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::*;
+use ladderpass_routing::reference_clock::ClockDifference;
 use ladderpass_routing::*;
 
 #[test]
@@ -41,3 +42,22 @@
     answer_health_check(&mut router, 20, 2, 18, true);
     assert_eq!(sent_to(router.tick(at(20)).decisions[0].1), Some(2));
 }
+
+/// Guards against a new primary that gets no writes: while one corrupt position seemed to show that the clock is behind,
+/// replicas were recorded as seen in the future, and were not taken for a primary until that time had come.
+#[test]
+fn an_unconfirmed_clock_difference_does_not_move_the_time_at_which_a_role_is_seen() {
+    let mut router = router_with_replicas(2, |_| {});
+    answer_health_check(&mut router, 100, 0, 100, true);
+    router.set_clock_difference(ClockDifference { behind: Span::from_millis(600_000), ..Default::default() });
+    for member in [1, 2] {
+        answer_health_check(&mut router, 110, member, 105, false);
+        let (rpc, _) = router.accept(at(120), arrival(0, 120));
+        let answered = AttemptResult { role: Some(Role::Replica), ..result(member, AttemptOutcome::Ok, 5) };
+        rpc.on_attempt_ended(&mut router, at(125), answered);
+    }
+    router.set_clock_difference(ClockDifference::default());
+    answer_health_check(&mut router, 200, 2, 200, true);
+    let (_, decision) = router.accept(at(210), arrival(1, 210));
+    assert_eq!(sent_to(decision), Some(2));
+}
--- a/crates/ladderpass/src/limits.rs
+++ b/crates/ladderpass/src/limits.rs
@@ -105,9 +105,6 @@
     /// How long a member's answer may take from its first byte to its end, and how long the member may then take to
     /// answer the sync query (the empty query behind each query).
     pub partial_answer_timeout: Span,
-    /// How far a member's replication position may be ahead of this router's clock, after the clock is corrected by the
-    /// known clock difference. The clocks of members are never further ahead than this.
-    pub max_clock_lead: Span,
 
     // Slow clients.
     /// How long a client may take to send its first message, and to send the rest of a message that has begun.
@@ -236,7 +233,6 @@
     max_decision_age: Span::ZERO,
     write_timeout: Span::from_millis(100),
     partial_answer_timeout: Span::from_millis(250),
-    max_clock_lead: Span::from_millis(1000),
     message_timeout: Span::from_millis(2000),
     unread_answer_timeout: Span::from_millis(10_000),
     refill_quiet_time: Span::from_millis(20),
--- a/crates/ladderpass/src/reducer/handlers/attempts.rs
+++ b/crates/ladderpass/src/reducer/handlers/attempts.rs
@@ -8,7 +8,10 @@
 use crate::reducer::state::member_connection::Job;
 use crate::reducer::state::query_answer::unanswered_result;
 use crate::reducer::state::rpc_table::RpcDescription;
-use ladderpass_routing::{AttemptOutcome, AttemptResult, Decision, LoadReport, MemberId, RpcId, Span, Time};
+use ladderpass_routing::reference_clock::PositionReport;
+use ladderpass_routing::{
+    AttemptOutcome, AttemptResult, Decision, LoadReport, MemberId, Role, RpcId, Span, Time,
+};
 
 /// Returns whether reading from the client is paused because the client has sent more than can be read now. A close of
 /// the client's connection can't be seen while reading is paused. No attempt is made for such a client, because the
@@ -58,14 +61,7 @@
         mut result: AttemptResult,
         mut report: LoadReport,
     ) {
-        result.position = result.position.and_then(|position| self.plausible_position(now, position));
-        // A member that has no data for its load report yet sends zeros, also for its role, so nothing of a report
-        // whose position is not plausible is used.
-        if let Some(position) = report.position
-            && self.plausible_position(now, position).is_none()
-        {
-            report = LoadReport::default();
-        }
+        self.check_positions(now, &mut result, &mut report);
         match job {
             Job::SyncQuery => {}
             Job::HealthCheck => {
@@ -77,17 +73,42 @@
         }
     }
 
-    /// Returns a member's replication position, or `None` if the position is not positive or is further ahead of this
-    /// router's clock than clocks may differ. Using such a position could lead to stale reads, and to a primary that
-    /// never changes again.
-    fn plausible_position(&mut self, now: Time, position: Time) -> Option<Time> {
-        if position.nanos() <= 0 {
-            return None;
+    /// Removes what can't be used of the positions that a member has reported. A position that is not positive is none.
+    /// Of an answer or a load report whose position is further ahead than clocks may differ, nothing is used: it could
+    /// lead to stale reads, and to a primary that never changes again. Nor is anything used of a load report whose
+    /// position is not positive, because a member that has no data for its load report yet sends zeros, also for its
+    /// role.
+    fn check_positions(&mut self, now: Time, result: &mut AttemptResult, report: &mut LoadReport) {
+        result.position = result.position.filter(|position| position.nanos() > 0);
+        let (member, sent_at) = (result.member, now - result.latency);
+        if let Some(position) = result.position
+            && !self.record_position(now, PositionReport { member, role: result.role, sent_at, position })
+        {
+            (result.position, result.role) = (None, None);
+        }
+        let role = report.is_primary.map(|is_primary| if is_primary { Role::Primary } else { Role::Replica });
+        if let Some(position) = report.position
+            && (position.nanos() <= 0
+                || !self.record_position(now, PositionReport { member, role, sent_at, position }))
+        {
+            *report = LoadReport::default();
+        }
+    }
+
+    /// Compares a position that a member has reported with this router's clock. Returns whether the member may have
+    /// reached the position.
+    fn record_position(&mut self, now: Time, report: PositionReport) -> bool {
+        let is_plausible = self.reference_clock.record_position(now, &report);
+        self.router.set_clock_difference(self.reference_clock.difference(now));
+        if !is_plausible {
+            tracing::warn!(
+                target: log_target::MEMBER_ANSWERS,
+                member = self.members.names().name(report.member.0),
+                ahead_ms = (report.position - now).nanos() / 1_000_000,
+                "position from a member is ahead of all clocks: not used"
+            );
         }
-        self.reference_clock.record_position(now, position);
-        let difference = self.reference_clock.difference(now);
-        self.router.set_clock_difference(difference);
-        Some(position).filter(|&position| position <= now + difference.behind + self.limits.max_clock_lead)
+        is_plausible
     }
 
     fn on_attempt_ended(&mut self, now: Time, rpc: RpcId, mut result: AttemptResult) {
--- a/crates/ladderpass/tests/reducer/malformed_answers.rs
+++ b/crates/ladderpass/tests/reducer/malformed_answers.rs
@@ -1,10 +1,11 @@
-//! Answers of members that are malformed or break off, and what they tell of the member before that.
+//! Answers of members that are malformed, break off or contain a position that no member can have, and what they tell
+//! of the member.
 
 use crate::common::{frame, row};
 use crate::scenarios::{FirstAttempt, send_first_attempt};
 use crate::simulation::Simulation;
 use ladderpass::reducer::{ConnectionId, Event};
-use ladderpass_routing::Span;
+use ladderpass_routing::{Span, Time};
 
 /// How an answer goes on after the member's role and position.
 #[derive(Clone, Copy, Debug)]
@@ -77,6 +78,21 @@
     assert!(!simulation.member_connections.contains_key(&connection), "{ending:?}: not malformed");
 }
 
+fn now_ms(simulation: &Simulation) -> u64 {
+    simulation.now.nanos() as u64 / 1_000_000
+}
+
+/// The id of the member at the other end of a connection.
+fn member_of(simulation: &Simulation, connection: ConnectionId) -> String {
+    format!("m-{}", simulation.ports[&connection] - 7000)
+}
+
+/// The position that the router knows of a member, and whether the router takes the member for the primary.
+fn known(simulation: &Simulation, member: &str) -> (Time, bool) {
+    let known = simulation.reducer.known_position(member).expect("the member is listed");
+    (known.position, known.is_primary)
+}
+
 /// Guards against stale reads: the position of an answer that was rejected as malformed made a lagging replica count as
 /// fresh for as long as the position was ahead. The same holds for the role, by which a replica became the primary.
 #[test]
@@ -86,17 +102,35 @@
             for ahead_ms in [-100, 400, 5_000, 600_000, 80_000_000] {
                 let FirstAttempt { mut simulation, client, connection } = send_first_attempt(method);
                 simulation.clients.get_mut(&client).expect("the client is connected").broke_protocol = true;
-                let member = format!("m-{}", simulation.ports[&connection] - 7000);
-                let known = |simulation: &Simulation| {
-                    let known = simulation.reducer.known_position(&member).expect("the member is listed");
-                    (known.position, known.is_primary)
-                };
-                let before = known(&simulation);
-                let told_ms = (simulation.now.nanos() / 1_000_000 + ahead_ms) as u64;
+                let member = member_of(&simulation, connection);
+                let before = known(&simulation, &member);
+                let told_ms = now_ms(&simulation).saturating_add_signed(ahead_ms);
                 answer(&mut simulation, connection, &parameters(role, told_ms), ending);
-                let after = known(&simulation);
-                assert_eq!(after, before, "{ending:?} of a {method} at {role}, {ahead_ms} ms ahead");
+                assert_eq!(
+                    known(&simulation, &member),
+                    before,
+                    "{ending:?} of a {method} at {role}, {ahead_ms} ms ahead"
+                );
             }
         }
     }
 }
+
+/// Guards against stale reads: a position far ahead of all clocks, in an answer that is valid otherwise, was recorded as
+/// its member's and made the member count as fresh, or as the primary, for as long as the position was ahead.
+#[test]
+fn a_valid_answer_with_a_position_that_no_member_can_have_changes_neither_position_nor_role() {
+    for (method, role) in [("read", "follower"), ("read", "leader"), ("write", "follower")] {
+        for ahead_ms in [2_500, 5_000, 600_000, 86_000_000, 90_000_000, 1 << 52] {
+            let FirstAttempt { mut simulation, client, connection } = send_first_attempt(method);
+            let member = member_of(&simulation, connection);
+            let before = known(&simulation, &member);
+            simulation.member_connections.get_mut(&connection).expect("the connection is open").query = None;
+            let told_ms = now_ms(&simulation) + ahead_ms;
+            simulation.receive(connection, &row(b"7", role, told_ms));
+            simulation.write(client);
+            assert_eq!(simulation.clients[&client].answers, 1, "the answer itself is valid");
+            assert_eq!(known(&simulation, &member), before, "{method} at {role}, {ahead_ms} ms ahead");
+        }
+    }
+}
