A member's recorded position is corrected once the answer to a later query contradicts it

Cause: a recorded position was only ever raised. A wrong one that fell into the recent past was plausible, and what the same member told correctly afterwards changed nothing until it was too old.

Evidence: routing/staleness, before the change: "by a health check: false, left: Time right: Time".

Why this works: a member's position never goes back (WIRE, rule 5), so an earlier one in the answer to a query that was sent after the recorded one arrived disproves it. Answers to earlier queries, load reports within 1 s and gossip lower nothing, which the second new test holds.

--- a/crates/ladderpass-routing/src/attempt.rs
+++ b/crates/ladderpass-routing/src/attempt.rs
@@ -6,7 +6,7 @@
 use crate::gossip;
 use crate::load::{self, SILENT_AFTER_TYPICAL_LATENCIES};
 use crate::outlier_ejection;
-use crate::position;
+use crate::position::{self, Source};
 use crate::retry;
 use crate::state::member::{ObservedBy, OpenAttempt};
 use crate::state::router_state::RouterState;
@@ -57,7 +57,7 @@
         concurrency_limit::follow_latency(state, now, index, sent_at, ObservedBy::ThisRouter);
     }
     record_session_write(state, now, result, arrival, sent_at);
-    record_position(state, now, index, result, arrival, latency_ratio);
+    record_position(state, now, index, result, arrival, sent_at, latency_ratio);
     record_role(state, now, index, result);
 }
 
@@ -123,11 +123,12 @@
     index: usize,
     result: &AttemptResult,
     arrival: &Arrival,
+    sent_at: Time,
     latency_ratio: f64,
 ) {
     let Some(position) = result.position.filter(|_| !is_commit(state, result, arrival)) else { return };
     state.topology.member_mut(index).lag = Some(state.latest_time_of_members_clock(now) - position);
-    position::record_position(state, now, index, position);
+    position::record_position(state, now, index, position, Source::Answer { sent_at });
     if result.role == Some(Role::Replica) {
         gossip::publish(state, now, index, MemberObservation::Replica, position, latency_ratio);
     }
--- a/crates/ladderpass-routing/src/gossip.rs
+++ b/crates/ladderpass-routing/src/gossip.rs
@@ -10,7 +10,7 @@
 use crate::health_check_schedule::GOSSIP_INTERVAL_WITHOUT_PRIMARY;
 use crate::load;
 use crate::outlier_ejection;
-use crate::position;
+use crate::position::{self, Source};
 use crate::primary;
 use crate::staleness::position_refresh_interval;
 use crate::state::member::{Member, ObservedBy};
@@ -78,7 +78,7 @@
         let sent_at = now - load::min_typical_latency(state) * update.latency_ratio;
         concurrency_limit::follow_latency(state, now, index, sent_at, ObservedBy::Peer);
     }
-    position::record_position(state, now, index, update.at);
+    position::record_position(state, now, index, update.at, Source::Gossip);
     if update.same_zone && state.topology.member(index).consecutive_failures > 0 {
         outlier_ejection::record_success(state, now, index);
     }
--- a/crates/ladderpass-routing/src/health_check.rs
+++ b/crates/ladderpass-routing/src/health_check.rs
@@ -7,7 +7,7 @@
 use crate::gossip;
 use crate::health_check_schedule::{self, MIN_ROUND, RECHECK_AFTER};
 use crate::outlier_ejection;
-use crate::position;
+use crate::position::{self, Source};
 use crate::state::member::ObservedBy;
 use crate::state::router_state::RouterState;
 use crate::time::{Span, Time};
@@ -106,7 +106,7 @@
     let group = state.topology.member(index).group;
     state.topology.groups[group].has_answered = true;
     if let Some(position) = report.position {
-        record_position(state, now, index, position, &report);
+        record_position(state, now, index, position, now - latency, &report);
     }
     let member_time = state.time_of_members_clock(now);
     let member = state.topology.member_mut(index);
@@ -123,7 +123,14 @@
     }
 }
 
-fn record_position(state: &mut RouterState, now: Time, index: usize, position: Time, report: &LoadReport) {
+fn record_position(
+    state: &mut RouterState,
+    now: Time,
+    index: usize,
+    position: Time,
+    sent_at: Time,
+    report: &LoadReport,
+) {
     let age = state.latest_time_of_members_clock(now) - position;
     let member = state.topology.member_mut(index);
     member.reported_position_age = Some(age);
@@ -137,7 +144,7 @@
     let report_delay =
         primary.map(|index| state.topology.member(index).reported_position_age.unwrap_or(Span::ZERO));
     state.topology.member_mut(index).lag = report_delay.map(|delay| (age - delay).max(Span::ZERO));
-    position::record_position(state, now, index, position);
+    position::record_position(state, now, index, position, Source::LoadReport { sent_at });
     let observation =
         if report.is_primary == Some(true) { MemberObservation::Primary } else { MemberObservation::Replica };
     gossip::publish(state, now, index, observation, position, 0.0);
--- a/crates/ladderpass-routing/src/position.rs
+++ b/crates/ladderpass-routing/src/position.rs
@@ -2,16 +2,33 @@
 //! router that has published the position.
 
 use crate::health_check_schedule;
+use crate::state::member::Member;
 use crate::state::router_state::RouterState;
-use crate::time::Time;
+use crate::time::{Span, Time};
 
-/// Records a position that a member has reported. The recorded position never decreases. A position that a member
-/// has reached stays proven, however late its report arrives.
-pub fn record_position(state: &mut RouterState, now: Time, index: usize, position: Time) {
+/// The position in an answer is current, apart from the precision in which it is reported.
+const MAX_AGE_IN_ANSWER: Span = Span::from_millis(50);
+/// A load report, and so the position in it, may be this old when the member sends it.
+const MAX_AGE_IN_LOAD_REPORT: Span = Span::from_millis(1000);
+
+/// How a position has reached this router.
+#[derive(Clone, Copy, Debug)]
+pub enum Source {
+    /// In the answer to an attempt that was sent at `sent_at`.
+    Answer { sent_at: Time },
+    /// In the load report that answers a health check that was sent at `sent_at`.
+    LoadReport { sent_at: Time },
+    /// In an update from another router.
+    Gossip,
+}
+
+/// Records a position that a member has reported. A position that a member has reached stays proven, however late its
+/// report arrives. The recorded position decreases only if the report shows that it was never reached.
+pub fn record_position(state: &mut RouterState, now: Time, index: usize, position: Time, source: Source) {
     let check_interval = health_check_schedule::check_interval(state, now, index);
     let member_time = state.latest_time_of_members_clock(now);
     let member = state.topology.member_mut(index);
-    if position > member.position {
+    if position > member.position || refutes_recorded(member, position, source) {
         member.position = position;
         member.position_advanced_at = now;
     }
@@ -20,3 +37,14 @@
     member.next_health_check_at = member.next_health_check_at.max(now + check_interval);
     member.lag = member.lag.map(|lag| lag.min(member_time - member.position));
 }
+
+/// Returns whether a report shows that the member never reached its recorded position, so that the report of that
+/// position was corrupt. Positions never go back, so the answer to a later query can't contain an earlier position.
+fn refutes_recorded(member: &Member, position: Time, source: Source) -> bool {
+    let (sent_at, max_age) = match source {
+        Source::Answer { sent_at } => (sent_at, MAX_AGE_IN_ANSWER),
+        Source::LoadReport { sent_at } => (sent_at, MAX_AGE_IN_LOAD_REPORT),
+        Source::Gossip => return false,
+    };
+    sent_at >= member.position_advanced_at && position + max_age < member.position
+}
--- a/crates/ladderpass-routing/tests/staleness.rs
+++ b/crates/ladderpass-routing/tests/staleness.rs
@@ -86,3 +86,53 @@
         assert!(read(&mut router, 2000, 5), "{outcome:?}: the replicas have reached 1960 ms");
     }
 }
+
+/// Guards against stale reads: a position that was never reached, told once by a lagging replica, stayed recorded until
+/// its time had passed, although the replica's next answers told earlier positions.
+#[test]
+fn a_position_is_corrected_once_the_answer_to_a_later_query_contradicts_it() {
+    let read_is_sent_to_replica = |router: &mut Router, ms: i64| {
+        let (rpc, decision) = router.accept(at(ms), arrival(0, ms));
+        rpc.abandon(router);
+        sent_to(decision) == Some(1)
+    };
+    let position_of = |router: &Router| router.known_position(MemberId(1)).expect("a listed member").position;
+    for by_health_check in [false, true] {
+        let mut router = router_with_replicas(1, |_| {});
+        answer_health_check(&mut router, 9_990, 0, 9_990, true);
+        answer_health_check(&mut router, 10_000, 1, 10_300, false);
+        assert!(read_is_sent_to_replica(&mut router, 10_001));
+        if by_health_check {
+            answer_health_check(&mut router, 10_020, 1, 5_000, false);
+        } else {
+            let (rpc, decision) = router.accept(at(10_010), arrival(0, 10_010));
+            assert_eq!(sent_to(decision), Some(1));
+            let lagging = AttemptResult {
+                role: Some(Role::Replica),
+                position: Some(at(5_000)),
+                ..result(1, AttemptOutcome::Ok, 10)
+            };
+            rpc.on_attempt_ended(&mut router, at(10_020), lagging);
+        }
+        assert_eq!(position_of(&router), at(5_000), "by a health check: {by_health_check}");
+        assert!(!read_is_sent_to_replica(&mut router, 10_021), "by a health check: {by_health_check}");
+    }
+}
+
+/// A report that is older than the recorded position, because it was sent earlier or waited at the member, says nothing
+/// against that position.
+#[test]
+fn a_late_report_does_not_lower_a_proven_position() {
+    let mut router = router_with_replicas(1, |_| {});
+    answer_health_check(&mut router, 10_000, 0, 10_000, true);
+    answer_health_check(&mut router, 10_000, 1, 9_900, false);
+    let (rpc, decision) = router.accept(at(10_010), arrival(0, 10_010));
+    assert_eq!(sent_to(decision), Some(1));
+    answer_health_check(&mut router, 10_100, 1, 10_050, false);
+    let late = AttemptResult { position: Some(at(9_910)), ..result(1, AttemptOutcome::Ok, 110) };
+    rpc.on_attempt_ended(&mut router, at(10_120), late);
+    // The load report was made 150 ms before it was sent.
+    answer_health_check(&mut router, 10_200, 1, 10_045, false);
+    let known = router.known_position(MemberId(1)).expect("a listed member");
+    assert_eq!(known.position, at(10_050));
+}
