A client is handled once in each iteration of the event loop, however fast it sends

Cause: the queue of clients with input had an entry for each read and each deferral, and the limit of 32 messages held for each entry. The entries of a fast client grew by eight an iteration, up to its whole input buffer.

Evidence: of nine kinds of floods on real processes only those without answers were slow, where the limit on unwritten output does not help. The new test of reducer::limits says before the change "288 messages in iteration 0".

Why this works: a client is in the queue at most once, so an iteration handles 32 of its messages at most and then serves the others.

--- a/crates/ladderpass/src/reducer/state/client_table.rs
+++ b/crates/ladderpass/src/reducer/state/client_table.rs
@@ -10,6 +10,7 @@
 use super::client::{Awaited, AwaitedInput, Client};
 use crate::reducer::connection_id::ConnectionId;
 use ladderpass_routing::{Span, Time};
+use rustc_hash::FxHashSet;
 use std::collections::{BTreeSet, VecDeque};
 
 /// Number of sets of clients by awaited input. The sets are in the order in which their clients are evicted.
@@ -34,8 +35,10 @@
     /// Clients that will be closed unless more input is found in their sockets, each with the input that was awaited
     /// when its eviction began.
     evicting: Vec<(ConnectionId, Option<Awaited>)>,
-    /// Clients whose input is to be handled in this iteration of the event loop.
+    /// Clients whose input is to be handled in this iteration of the event loop, each once.
     ready: VecDeque<ConnectionId>,
+    /// The clients in `ready`.
+    is_ready: FxHashSet<ConnectionId>,
     /// Clients whose input is to be handled in the next iteration of the event loop. They have sent more messages than
     /// are handled in one iteration, or their RPC was just answered, or their output was just written.
     deferred: Vec<ConnectionId>,
@@ -163,12 +166,18 @@
         self.evicting.len()
     }
 
+    /// Adds a client to those whose input is to be handled in this iteration. However many events concern the client,
+    /// it is handled once, so that a client that sends without a pause gets no larger share of the iteration.
     pub(in crate::reducer) fn push_ready(&mut self, id: ConnectionId) {
-        self.ready.push_back(id);
+        if self.is_ready.insert(id) {
+            self.ready.push_back(id);
+        }
     }
 
     pub(in crate::reducer) fn pop_ready(&mut self) -> Option<ConnectionId> {
-        self.ready.pop_front()
+        let id = self.ready.pop_front()?;
+        self.is_ready.remove(&id);
+        Some(id)
     }
 
     pub(in crate::reducer) fn defer(&mut self, id: ConnectionId) {
--- a/crates/ladderpass/tests/reducer/limits.rs
+++ b/crates/ladderpass/tests/reducer/limits.rs
@@ -1,7 +1,7 @@
 //! Limits on the number of clients and on the size of buffers and tables, and which clients are evicted at these
 //! limits.
 
-use crate::common::{chunk, frames, instance, query, row, sqlstate, startup, statement};
+use crate::common::{chunk, frame, frames, instance, query, row, sqlstate, startup, statement};
 use crate::scenarios::{FirstAttempt, clients_that_sent, send_first_attempt_in};
 use crate::simulation::{Client, Simulation, default_launch};
 use ladderpass::reducer::{ConnectionId, Effect, Event};
@@ -245,3 +245,32 @@
         );
     }
 }
+
+/// Guards against late answers to other clients: a client that sent small messages at full speed had as many of them
+/// handled in each iteration of the event loop as its whole input held, instead of `Limits::statements_per_iteration`.
+#[test]
+fn each_client_has_the_same_share_of_an_iteration_however_fast_it_sends() {
+    let per_iteration = default_launch().limits.statements_per_iteration;
+    let mut simulation = clients_that_sent(1, |_| Vec::new());
+    let id = *simulation.clients.keys().next().expect("the client is connected");
+    simulation.write(id);
+    simulation.clients.get_mut(&id).expect("the client is connected").broke_protocol = true;
+    // Each Sync message gets one answer. Eight pieces arrive in each iteration, as a socket is read up to eight times.
+    let (message, answer) = (frame(b'S', b""), frame(b'Z', b"I"));
+    let (piece_bytes, mut sent) = (250, 0);
+    let messages = message.repeat(piece_bytes);
+    for iteration in 0..10 {
+        for _ in 0..8 {
+            let space = simulation.reducer.read_buffer(id);
+            let (from, count) = (sent % message.len(), space.len().min(piece_bytes));
+            space[..count].copy_from_slice(&messages[from..from + count]);
+            sent += count;
+            simulation.reducer.handle(simulation.now, Event::Received(id, count, Span::ZERO));
+        }
+        let written = simulation.reducer.outgoing(id).len();
+        simulation.reducer.handle(simulation.now, Event::Written(id, written));
+        simulation.reducer.handle(simulation.now, Event::Tick);
+        let handled = simulation.reducer.outgoing(id).len() / answer.len();
+        assert!((1..=per_iteration).contains(&handled), "{handled} messages in iteration {iteration}");
+    }
+}
