A full table of remembered ids forgets those that ended first, not those that expire first

Cause: when the table was full the ids that expire first were forgotten, and expiry follows the deadline that a client chooses. With d=3600000 one client's ids stay for an hour, and the newest ids of others go at once.

The test is by time now, so an id is accepted again when its time is over; before, it was held until another RPC had ended.

--- a/crates/ladderpass/src/limits.rs
+++ b/crates/ladderpass/src/limits.rs
@@ -85,6 +85,8 @@
     pub remembered_ids: usize,
     /// How long the id of an RPC is remembered after the RPC's deadline.
     pub remembered_id_ttl: Span,
+    /// The longest time from the end of an RPC to its deadline that counts for how long the RPC's id is remembered.
+    pub remembered_id_wait: Span,
     /// The time before an RPC's deadline that the router reserves for itself, to write the answer in time.
     pub answer_margin: Span,
 
@@ -226,6 +228,7 @@
     rpcs_in_flight: usize::MAX,
     remembered_ids: 1 << 16,
     remembered_id_ttl: Span::from_millis(5000),
+    remembered_id_wait: Span::from_millis(60_000),
     answer_margin: Span::from_millis(4),
     connect_timeout: Span::from_millis(1000),
     health_check_timeout: Span::from_millis(1000),
--- a/crates/ladderpass/src/reducer/handlers/accept_rpc.rs
+++ b/crates/ladderpass/src/reducer/handlers/accept_rpc.rs
@@ -154,7 +154,7 @@
         // A statement whose id is already in use may be a second copy of the RPC that has the id. The members must not
         // get both.
         let id_hash = self.rpcs.hash_id(comment.id);
-        if self.rpcs.is_duplicate(id_hash) {
+        if self.rpcs.is_duplicate(now, id_hash) {
             return Err(StatementError::new("23505", "its id is that of another RPC"));
         }
         let (mut is_shed_by_fleet, mut priority) = (false, 0);
--- a/crates/ladderpass/src/reducer/state/rpc_ids.rs
+++ b/crates/ladderpass/src/reducer/state/rpc_ids.rs
@@ -1,24 +1,22 @@
 //! Ids of RPCs that are in flight or have ended recently. A statement with one of these ids is a duplicate.
 
 use ladderpass_routing::Time;
-use rustc_hash::FxHashSet;
-use std::collections::BTreeMap;
+use rustc_hash::{FxHashMap, FxHashSet};
+use std::collections::VecDeque;
 use std::hash::BuildHasher;
 
-/// The ids of RPCs expire in time steps of this width.
-const EXPIRY_STEP_NANOS: i64 = 128_000_000;
-
 /// The ids of RPCs, stored as hashes with a random key of this process, so that nobody can choose ids whose hashes
 /// collide.
 #[derive(Default)]
 pub(super) struct RpcIds {
     key: foldhash::fast::RandomState,
-    /// Ids of RPCs that have ended, which are kept until they expire.
-    remembered: FxHashSet<u64>,
+    /// Ids of RPCs that have ended, each with the time until which it is remembered.
+    remembered: FxHashMap<u64, Time>,
     /// Ids of RPCs in flight. Each id is kept until its RPC ends, however many RPCs end in the meantime.
     in_flight: FxHashSet<u64>,
-    /// The remembered ids by the time step in which they expire. The order of ids within a step does not matter.
-    expiring: BTreeMap<i64, Vec<u64>>,
+    /// The remembered ids in the order in which their RPCs ended, with the times until which they are remembered. An id
+    /// that was remembered twice is in the queue twice.
+    by_end: VecDeque<(u64, Time)>,
 }
 
 impl RpcIds {
@@ -26,8 +24,9 @@
         self.key.hash_one(id)
     }
 
-    pub(super) fn contains(&self, id: u64) -> bool {
-        self.remembered.contains(&id) || self.in_flight.contains(&id)
+    pub(super) fn contains(&self, now: Time, id: u64) -> bool {
+        let is_remembered = self.remembered.get(&id).is_some_and(|&expires_at| expires_at > now);
+        is_remembered || self.in_flight.contains(&id)
     }
 
     /// Records that an RPC with this id begins.
@@ -40,24 +39,21 @@
         self.in_flight.remove(&id);
     }
 
-    /// Records that the RPC with this id has ended, and remembers the id until `expires_at`. Ids that have expired are
-    /// forgotten. If `max_remembered` or more unexpired ids remain, the ids that expire first are forgotten as well,
-    /// until fewer remain.
+    /// Records that the RPC with this id has ended, and remembers the id until `expires_at`. If `max_remembered` or more
+    /// ids are remembered, those whose RPCs ended first are forgotten, until fewer remain. The order is not that of
+    /// expiry, which clients choose by their deadlines: with long deadlines, one client could have the ids of all others
+    /// forgotten at once.
     pub(super) fn remember(&mut self, now: Time, id: u64, expires_at: Time, max_remembered: usize) {
         self.in_flight.remove(&id);
-        while let Some(mut step) = self.expiring.first_entry()
-            && (step.key() * EXPIRY_STEP_NANOS <= now.nanos() || self.remembered.len() >= max_remembered)
+        while let Some(&(first, first_expires_at)) = self.by_end.front()
+            && (first_expires_at <= now || self.by_end.len() >= max_remembered)
         {
-            match step.get_mut().pop() {
-                Some(old) => {
-                    self.remembered.remove(&old);
-                }
-                None => {
-                    step.remove();
-                }
+            self.by_end.pop_front();
+            if self.remembered.get(&first) == Some(&first_expires_at) {
+                self.remembered.remove(&first);
             }
         }
-        self.remembered.insert(id);
-        self.expiring.entry(expires_at.nanos() / EXPIRY_STEP_NANOS + 1).or_default().push(id);
+        self.remembered.insert(id, expires_at);
+        self.by_end.push_back((id, expires_at));
     }
 }
--- a/crates/ladderpass/src/reducer/state/rpc_table.rs
+++ b/crates/ladderpass/src/reducer/state/rpc_table.rs
@@ -191,8 +191,8 @@
     }
 
     /// Returns whether an RPC in flight, or one that has ended recently, has the id with this hash.
-    pub(in crate::reducer) fn is_duplicate(&self, id_hash: u64) -> bool {
-        self.ids.contains(id_hash)
+    pub(in crate::reducer) fn is_duplicate(&self, now: Time, id_hash: u64) -> bool {
+        self.ids.contains(now, id_hash)
     }
 
     /// Adds an RPC, and reserves its id until the RPC is removed.
@@ -208,7 +208,8 @@
         if is_rejected {
             return self.ids.forget(description.id_hash);
         }
-        let expires_at = description.deadline + limits.remembered_id_ttl;
+        let wait_ends_at = description.deadline.min(now + limits.remembered_id_wait);
+        let expires_at = wait_ends_at + limits.remembered_id_ttl;
         self.ids.remember(now, description.id_hash, expires_at, limits.remembered_ids);
     }
 }
