The error for an unknown method quotes 64 characters of its name at most

Why this works: it was the only text of free length from a client in an answer (all others are constants, numbers or names of the settings), and its quoted form has 640 bytes at most now.

--- a/crates/ladderpass/src/reducer/handlers/accept_rpc.rs
+++ b/crates/ladderpass/src/reducer/handlers/accept_rpc.rs
@@ -19,6 +19,9 @@
 /// The maximum time, in milliseconds, that a statement may say its client waits; a longer time is shortened to this
 /// one. No client waits for longer, and a `Time` can represent a deadline this far away.
 const MAX_WAIT_MS: f64 = 3.6e6;
+/// The number of characters of a client's text that an error quotes. A longer text is cut off, because its quoted form
+/// takes several times the memory of the text.
+const MAX_QUOTED_CHARS: usize = 64;
 /// How much later than its client's deadline an RPC ends if the router has the fault `Faulty::AnswersLate`.
 const FAULTY_LATENESS: Span = Span::from_millis(1000);
 /// The shift to the right that leaves the 16 highest bits of a session's 64-bit hash. These bits are the session's
@@ -127,7 +130,8 @@
         let comment =
             pg::parse_comment(text).map_err(|error| StatementError::new("42601", error.to_string()))?;
         let method = self.methods.index(comment.method).ok_or_else(|| {
-            StatementError::new("22023", format!("unknown method {:?} in c", comment.method))
+            let quoted: String = comment.method.chars().take(MAX_QUOTED_CHARS).collect();
+            StatementError::new("22023", format!("unknown method {quoted:?} in c"))
         })?;
         let group = self.endpoints.group(comment.group).ok_or_else(|| {
             StatementError::new("22023", format!("unknown group {} in cluster", comment.group))
--- a/crates/ladderpass/tests/reducer/client_errors.rs
+++ b/crates/ladderpass/tests/reducer/client_errors.rs
@@ -63,3 +63,18 @@
     (0..200).for_each(|_| simulation.advance(Span::from_millis(5)));
     assert!(!simulation.clients.contains_key(&id));
 }
+
+/// Guards against memory that grows past its limit: the error for an unknown method quoted the whole name, in which a
+/// byte of the client's takes up to six, and hundreds of clients that did not read their errors had them stored.
+#[test]
+fn an_error_quotes_no_more_than_a_short_part_of_what_the_client_sent() {
+    for name in ["a", "\u{1}", "\u{10ffff}", "\\"] {
+        let method = name.repeat(100_000 / name.len());
+        let text = statement("7", &method, 480, "1");
+        let Exchange { frames, is_closed } = exchange(&query(&text));
+        assert!(!is_closed);
+        let (kind, body) = &frames[0];
+        assert_eq!((*kind, sqlstate(body).as_str()), (b'E', "22023"));
+        assert!(body.len() < 1024, "an error of {} bytes for {} of {name:?}", body.len(), method.len());
+    }
+}
