A statement whose comment has more than 64 pairs is refused without reading the rest

Cause: all pairs of a comment were read, and unknown names ignored; a statement has space for 33,000 pairs.

The new test of reducer::client_errors says before the change "65 pairs, left: (false, false) right: (true, false)".

Why this works: the cost of a comment no longer goes with its pairs. The protocol has seven names; unknown ones are still ignored, up to 64 pairs in all.

--- a/crates/ladderpass/src/pg/statement_comment.rs
+++ b/crates/ladderpass/src/pg/statement_comment.rs
@@ -5,6 +5,8 @@
 
 /// The maximum length in bytes of an RPC's id.
 const MAX_ID_BYTES: usize = 64;
+/// The maximum number of `name=value` pairs in a comment, of which the protocol has seven.
+const MAX_PAIRS: usize = 64;
 /// The maximum length in bytes of a number in a comment.
 const MAX_NUMBER_BYTES: usize = 20;
 
@@ -36,6 +38,9 @@
     /// The statement does not end with a comment.
     #[error("the statement has no comment at its end")]
     NoComment,
+    /// The comment has more `name=value` pairs than are read.
+    #[error("the comment has more than {MAX_PAIRS} pairs")]
+    TooManyPairs,
     /// A name occurs twice in the comment.
     #[error("{0} stands twice in the comment")]
     Duplicate(String),
@@ -95,11 +100,14 @@
 }
 
 /// Reads the `name=value` pairs of the comment whose content begins at the byte `start` of `inner`. Unknown names are
-/// ignored.
+/// ignored. A comment with too many pairs is not read to its end, because a statement has space for tens of thousands.
 fn read_pairs(inner: &str, start: usize) -> Result<Pairs<'_>, CommentError> {
     let mut pairs = Pairs::default();
     let mut pair_start = start;
-    for pair in inner.get(start..).unwrap_or_default().split(',') {
+    for (nth, pair) in inner.get(start..).unwrap_or_default().split(',').enumerate() {
+        if nth >= MAX_PAIRS {
+            return Err(CommentError::TooManyPairs);
+        }
         let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
         let (name, value) = (name.trim(), value.trim());
         let is_duplicate = match name {
--- a/crates/ladderpass/tests/reducer/client_errors.rs
+++ b/crates/ladderpass/tests/reducer/client_errors.rs
@@ -78,3 +78,20 @@
         assert!(body.len() < 1024, "an error of {} bytes for {} of {name:?}", body.len(), method.len());
     }
 }
+
+/// Guards against late answers to other clients: a comment with tens of thousands of pairs was read to its end, so that
+/// hundreds of clients with such statements took most of the router's time.
+#[test]
+fn a_comment_with_more_pairs_than_the_protocol_has_use_for_is_refused_unread() {
+    let with_further_pairs = |count: usize| {
+        let further = ",a=1".repeat(count);
+        statement("7", "read", 480, "1").replace(" */", &format!("{further} */"))
+    };
+    let pairs_in_statement = 4;
+    for (pairs, is_refused) in [(10, false), (64, false), (65, true), (30_000, true)] {
+        let text = with_further_pairs(pairs - pairs_in_statement);
+        let Exchange { frames, is_closed } = exchange(&query(&text));
+        let refused = frames.iter().any(|(kind, body)| *kind == b'E' && sqlstate(body) == "42601");
+        assert_eq!((refused, is_closed), (is_refused, false), "{pairs} pairs");
+    }
+}
