--- a/crates/ladderpass-routing/src/state/member.rs
+++ b/crates/ladderpass-routing/src/state/member.rs
@@ -46,6 +46,8 @@
     pub position: Time,
     /// The time at which `position` last advanced.
     pub position_advanced_at: Time,
+    /// The number of reports in a row that contradict `position`.
+    pub position_contradictions: u32,
     /// The time of the member's last report of any kind, to this router or by gossip.
     pub reported_at: Time,
     /// The newest position of the member that any router has published to all routers.
@@ -124,6 +126,7 @@
             listed_as_primary: false,
             position: Time::NEVER,
             position_advanced_at: Time::NEVER,
+            position_contradictions: 0,
             reported_at: Time::NEVER,
             published_position: Time::NEVER,
             published_at: Time::NEVER,
