--- a/crates/ladderpass/src/reducer/handlers/member_jobs.rs
+++ b/crates/ladderpass/src/reducer/handlers/member_jobs.rs
@@ -51,9 +51,10 @@
         }
     }
 
-    /// Puts the statement of an RPC into `query`, with the client's wait replaced by the time that is left. An attempt that
-    /// has waited for its connection is put only if the routing core would still allow it. If the attempt can't be sent, returns an error with the attempt's outcome, or with `None` if the RPC or the connection
-    /// does not exist any more.
+    /// Puts the statement of an RPC into `query`, with the client's wait replaced by the time that is left. An attempt
+    /// that has waited for its connection is put only if the routing core would still allow it. If the attempt can't be
+    /// sent, returns an error with the attempt's outcome, or with `None` if the RPC or the connection does not exist any
+    /// more.
     fn put_attempt_query(
         &mut self,
         now: Time,
