--- a/crates/ladderpass/src/pg/statement_comment.rs
+++ b/crates/ladderpass/src/pg/statement_comment.rs
@@ -5,7 +5,7 @@
 
 /// The maximum length in bytes of an RPC's id.
 const MAX_ID_BYTES: usize = 64;
-/// The maximum number of `name=value` pairs in a comment, of which the protocol has seven.
+/// The maximum number of `name=value` pairs in a comment, of which the protocol has six.
 const MAX_PAIRS: usize = 64;
 /// The maximum length in bytes of a number in a comment.
 const MAX_NUMBER_BYTES: usize = 20;
